--- /dev/null
+++ b/packages/agree/src/publish_revision.ts
@@ -0,0 +1,181 @@
+/**
+ * Publishes a revision: the body as an immutable object, then the head row
+ * by compare-and-set. A lost answer is settled by the change id, so that a
+ * change takes effect at most once and is never reported wrongly.
+ */
+import type {
+  ConfigBody,
+  ConfigHead,
+  FleetConfig,
+} from "@bamboolane/types/fleet";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import {
+  type Platform,
+  type RowCheck,
+  StoreUncertainError,
+} from "@bamboolane/platform/ports";
+import { contentHash, encodeBody } from "./content_hash.ts";
+import { headKey, type HeadRow, readBody, readHead } from "./read_revision.ts";
+
+/** A change that an operator or a duty wants to publish. */
+export interface ConfigChange {
+  changeId: string;
+  /** The change may have been sent before; look for it further back. */
+  resend?: boolean;
+  operator: string;
+  summary: string;
+  /** Revision that the change was made on; undefined for the newest. */
+  baseRevision?: number;
+  /** Makes the new document; throws {@link SteeringError} to refuse. */
+  edit(current: FleetConfig | undefined): FleetConfig;
+  /** Content hashes of block chunks; undefined keeps those in force. */
+  blockChunks?: string[];
+  /** Further conditions, such as a lease that must still be held. */
+  checks?: RowCheck[];
+}
+
+/** The published revision. */
+export interface Published {
+  head: ConfigHead;
+  body: ConfigBody;
+}
+
+/** Attempts to settle a lost answer before the change is reported in doubt. */
+const maxAttempts = 5;
+/** How far back the history is searched for a change that may be in it. */
+const resendDepth = 50;
+/** The same for a change that was not sent before. */
+const firstDepth = 1;
+
+async function findChange(
+  platform: Platform,
+  head: ConfigHead | undefined,
+  options: { changeId: string; depth: number },
+): Promise<Published | undefined> {
+  const { changeId } = options;
+  let hash = head?.hash ?? "";
+  for (let depth = 0; depth < options.depth && hash !== ""; depth++) {
+    const body = await readBody(platform, hash);
+    if (body === undefined) return undefined;
+    if (body.changeId === changeId) {
+      return { head: { revision: body.revision, hash, changeId }, body };
+    }
+    hash = body.previousHash;
+  }
+  return undefined;
+}
+
+function conflict(
+  change: ConfigChange,
+  winner: ConfigBody | undefined,
+): SteeringError {
+  const theirs = winner === undefined
+    ? "another change"
+    : `change ${winner.changeId} by ${winner.operator} (revision ${winner.revision}: ${winner.summary})`;
+  return new SteeringError(
+    ResultCode.conflict,
+    `Yours: ${change.changeId} by ${change.operator} (${change.summary}). Accepted: ${theirs}.`,
+  );
+}
+
+/** Assembles the next revision on top of `current`. */
+export function assembleRevision(
+  change: ConfigChange,
+  current: { head: ConfigHead; body: ConfigBody } | undefined,
+): Published & { content: Uint8Array } {
+  const body: ConfigBody = {
+    revision: (current?.head.revision ?? 0) + 1,
+    changeId: change.changeId,
+    operator: change.operator,
+    summary: change.summary,
+    previousHash: current?.head.hash ?? "",
+    fleet: change.edit(current?.body.fleet),
+    blockChunks: change.blockChunks ?? current?.body.blockChunks ?? [],
+  };
+  const content = encodeBody(body);
+  const hash = contentHash(content);
+  const head = { revision: body.revision, hash, changeId: change.changeId };
+  return { head, body, content };
+}
+
+async function readCurrent(
+  platform: Platform,
+  row: HeadRow,
+): Promise<Published | undefined> {
+  if (row.head === undefined) return undefined;
+  const body = await readBody(platform, row.head.hash);
+  if (body === undefined) {
+    throw new SteeringError(
+      ResultCode.storeAway,
+      "The newest revision can't be read.",
+    );
+  }
+  return { head: row.head, body };
+}
+
+/** Runs one attempt; uncertain where the store's answer was lost. */
+async function tryPublish(
+  platform: Platform,
+  change: ConfigChange,
+  options: { mayHaveWritten: boolean },
+): Promise<Published | "uncertain"> {
+  const row = await readHead(platform);
+  const { changeId } = change;
+  const depth = options.mayHaveWritten ? resendDepth : firstDepth;
+  const done = await findChange(platform, row.head, { changeId, depth });
+  if (done) return done;
+  const current = await readCurrent(platform, row);
+  if (
+    change.baseRevision !== undefined &&
+    change.baseRevision !== (row.head?.revision ?? 0)
+  ) {
+    throw conflict(change, current?.body);
+  }
+  const next = assembleRevision(change, current);
+  await platform.objects.write(next.head.hash, next.content);
+  try {
+    const result = await platform.table.transact(
+      [{ key: headKey, expectVersion: row.version, value: next.head }],
+      change.checks,
+    );
+    if (result.kind === "committed") {
+      return { head: next.head, body: next.body };
+    }
+  } catch (error) {
+    if (error instanceof StoreUncertainError) return "uncertain";
+    throw error;
+  }
+  const after = await readHead(platform);
+  const settled = await findChange(platform, after.head, {
+    changeId,
+    depth: resendDepth,
+  });
+  if (settled) return settled;
+  const winner = after.head && await readBody(platform, after.head.hash);
+  throw conflict(change, winner);
+}
+
+/** Publishes a change; rejects with a {@link SteeringError} otherwise. */
+export async function publishRevision(
+  platform: Platform,
+  change: ConfigChange,
+): Promise<Published> {
+  let mayHaveWritten = change.resend ?? false;
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    try {
+      const result = await tryPublish(platform, change, { mayHaveWritten });
+      if (result !== "uncertain") return result;
+      mayHaveWritten = true;
+    } catch (error) {
+      if (!(error instanceof StoreUncertainError)) throw error;
+      if (!mayHaveWritten) {
+        throw new SteeringError(ResultCode.storeAway, error.message);
+      }
+    }
+  }
+  throw new SteeringError(
+    ResultCode.publishInDoubt,
+    `Change id: ${change.changeId}.`,
+  );
+}
--- /dev/null
+++ b/packages/cli/src/commands/explain/explain_command.ts
@@ -0,0 +1,70 @@
+/**
+ * `bamboolane explain`: why a request went, or would go, where it did.
+ */
+import type { CommandModule } from "yargs";
+import { withOperatorOptions } from "../../common_options.ts";
+import { callOperator } from "../../operator_client.ts";
+import { type OutputFormat, printResult } from "../../print_result.ts";
+
+interface ExplainArgs {
+  request?: string;
+  member?: string;
+  service?: string;
+  client?: string;
+  path: string;
+  method: string;
+  operator: string;
+  output: OutputFormat;
+}
+
+type Fields = Record<string, string | number | boolean | string[]>;
+
+function formatFields(fields: Fields): string {
+  return Object.entries(fields).map(([name, value]) =>
+    `${name}=${value || "none"}`
+  ).join(" ");
+}
+
+function formatExplanation(value: { decisions: Fields[] } | Fields): string {
+  const list = "decisions" in value ? value.decisions as Fields[] : [value];
+  return list.map(formatFields).join("\n");
+}
+
+/** The command. */
+export const explainCommand: CommandModule = {
+  command: "explain",
+  describe: "why a request went, or would go, where it did",
+  builder: (args) =>
+    withOperatorOptions(args)
+      .option("request", {
+        type: "string",
+        describe: "id of a request that this entry routed",
+      })
+      .option("member", { type: "string" })
+      .option("service", { type: "string" })
+      .option("client", { type: "string", describe: "client address" })
+      .option("path", { type: "string", default: "/" })
+      .option("method", { type: "string", default: "GET" }),
+  handler: async (raw) => {
+    const args = raw as unknown as ExplainArgs;
+    const query = new URLSearchParams();
+    for (
+      const name of [
+        "request",
+        "member",
+        "service",
+        "client",
+        "path",
+        "method",
+      ] as const
+    ) {
+      const value = args[name];
+      if (value !== undefined) query.set(name, value);
+    }
+    const value = await callOperator<Fields>(args, {
+      method: "GET",
+      path: `/v1/explain?${query}`,
+    });
+    printResult(value, { output: args.output, toText: formatExplanation });
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/lookup/lookup_command.ts
@@ -0,0 +1,84 @@
+/**
+ * `bamboolane lookup`: asks an entry which entries a caller should use.
+ */
+import type { CommandModule } from "yargs";
+import { request } from "undici";
+import { readResultCode, ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import { OutputFormat, printResult } from "../../print_result.ts";
+
+interface LookupAnswer {
+  entries: { id: string; dataCentre: string; address: string }[];
+  home: string;
+  ttlSeconds: number;
+  revision: number;
+}
+
+interface LookupArgs {
+  entry: string;
+  member: string;
+  service: string;
+  client: string;
+  output: OutputFormat;
+}
+
+async function lookUp(args: LookupArgs): Promise<LookupAnswer> {
+  const { member, service, client } = args;
+  const url = new URL("/v1/lookup", args.entry);
+  url.search = new URLSearchParams({ member, service, client }).toString();
+  const reply = await request(url).catch((error) => {
+    throw new SteeringError(
+      ResultCode.peerUnreachable,
+      `${args.entry}: ${error.message}.`,
+    );
+  });
+  const value = await reply.body.json() as LookupAnswer & {
+    code?: number;
+    error?: string;
+  };
+  if (reply.statusCode === 200) return value;
+  throw new SteeringError(
+    readResultCode(value.code ?? ResultCode.internal.code),
+    value.error,
+  );
+}
+
+function formatAnswer(answer: LookupAnswer): string {
+  const lines = answer.entries.map((e, i) =>
+    `${i + 1}. ${e.address}  ${e.id} (${e.dataCentre})`
+  );
+  return [
+    ...lines,
+    `home ${answer.home}, valid for ${answer.ttlSeconds} s, revision ${answer.revision}`,
+  ].join("\n");
+}
+
+/** The command. */
+export const lookupCommand: CommandModule = {
+  command: "lookup",
+  describe: "ask which entries a caller should use",
+  builder: (args) =>
+    args.option("entry", {
+      type: "string",
+      default: "http://127.0.0.1:7000",
+      describe: "URL of any entry's caller interface",
+    })
+      .option("member", { type: "string", demandOption: true })
+      .option("service", { type: "string", demandOption: true })
+      .option("client", {
+        type: "string",
+        demandOption: true,
+        describe: "client address",
+      })
+      .option("output", {
+        choices: Object.values(OutputFormat),
+        default: OutputFormat.text as OutputFormat,
+      }),
+  handler: async (raw) => {
+    const args = raw as unknown as LookupArgs;
+    printResult(await lookUp(args), {
+      output: args.output,
+      toText: formatAnswer,
+    });
+  },
+};
--- /dev/null
+++ b/packages/cli/src/operator_client.ts
@@ -0,0 +1,55 @@
+/**
+ * Calls an entry's operator interface.
+ */
+import process from "node:process";
+import { readFile } from "node:fs/promises";
+import { request } from "undici";
+import { readResultCode, ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+
+/** How to reach an entry as an operator. */
+export interface OperatorOptions {
+  /** Base URL of the operator interface. */
+  operator: string;
+  token?: string;
+  tokenFile?: string;
+}
+
+/** Environment variable that holds the token. */
+const tokenVariable = "BAMBOOLANE_TOKEN";
+
+async function readToken(options: OperatorOptions): Promise<string> {
+  if (options.token !== undefined) return options.token;
+  if (options.tokenFile !== undefined) {
+    return (await readFile(options.tokenFile, "utf8")).trim();
+  }
+  return process.env[tokenVariable] ?? "";
+}
+
+interface ErrorBody {
+  code?: number;
+  error?: string;
+}
+
+/** Sends one call; rejects with a {@link SteeringError}. */
+export async function callOperator<T>(
+  options: OperatorOptions,
+  call: { method: "GET" | "POST"; path: string; body?: unknown },
+): Promise<T> {
+  const token = await readToken(options);
+  const reply = await request(new URL(call.path, options.operator), {
+    method: call.method,
+    headers: { authorization: `Bearer ${token}` },
+    body: call.body === undefined ? undefined : JSON.stringify(call.body),
+  }).catch((error) => {
+    throw new SteeringError(
+      ResultCode.peerUnreachable,
+      `${options.operator}: ${error.message}. Check --operator.`,
+    );
+  });
+  const value = await reply.body.json();
+  if (reply.statusCode === 200) return value as T;
+  const { code = ResultCode.internal.code, error = "" } = value as ErrorBody;
+  const info = readResultCode(code);
+  throw new SteeringError(info, error.replace(info.meaning, "").trim());
+}
--- /dev/null
+++ b/packages/cli/src/print_published.ts
@@ -0,0 +1,19 @@
+/**
+ * Formats the result of a publication for people.
+ */
+import type { PublishResult } from "@bamboolane/entry/publish_and_wait";
+
+/** Lists the instances by where they stand. */
+export function formatPublished(result: PublishResult): string {
+  const names = (status: string) =>
+    result.instances.filter((i) => i.status === status).map((i) => i.instance)
+      .sort();
+  const inForce = names("in-force");
+  const cutOff = names("cut-off");
+  return [
+    `revision ${result.revision} published in ${result.elapsedMillis} ms`,
+    `change id ${result.changeId}`,
+    `in force (${inForce.length}): ${inForce.join(" ") || "none"}`,
+    `cut off  (${cutOff.length}): ${cutOff.join(" ") || "none"}`,
+  ].join("\n");
+}
--- /dev/null
+++ b/packages/config/src/check_fleet.ts
@@ -0,0 +1,120 @@
+/**
+ * Rules between fields of the fleet configuration: every name that is used
+ * is defined once, and every move stays below its cap.
+ */
+import type { FleetConfig, Move } from "@bamboolane/types/fleet";
+
+/** A broken rule and where it was found. */
+export interface FleetProblem {
+  path: PropertyKey[];
+  expected: string;
+}
+
+type Report = (path: PropertyKey[], expected: string) => void;
+
+function checkUnique(ids: string[], path: PropertyKey[], report: Report): void {
+  const seen = new Set<string>();
+  ids.forEach((id, index) => {
+    if (seen.has(id)) report([...path, index, "id"], `"${id}" is given twice`);
+    seen.add(id);
+  });
+}
+
+function checkMove(move: Move, path: PropertyKey[], report: Report): void {
+  let previous = 0;
+  move.steps.forEach((share, index) => {
+    if (share > move.capShare) {
+      report(
+        [...path, "steps", index],
+        `expected at most capShare (${move.capShare})`,
+      );
+    }
+    if (share < previous) {
+      report([...path, "steps", index], "expected rising steps");
+    }
+    previous = share;
+  });
+  if (move.step >= move.steps.length) {
+    report([...path, "step"], "expected the index of a step");
+  }
+  if (move.from === move.to) {
+    report([...path, "to"], "expected another data centre than `from`");
+  }
+}
+
+/** Returns every broken rule. */
+export function checkFleet(fleet: FleetConfig): FleetProblem[] {
+  const problems: FleetProblem[] = [];
+  const report: Report = (path, expected) => problems.push({ path, expected });
+  const dataCentres = fleet.regions.flatMap((r) =>
+    r.dataCentres.map((d) => d.id)
+  );
+  const known = {
+    dataCentre: new Set(dataCentres),
+    region: new Set(fleet.regions.map((r) => r.id)),
+    member: new Set(fleet.members.map((m) => m.id)),
+    service: new Set(fleet.services.map((s) => s.id)),
+    site: new Set([...dataCentres, ...fleet.sites.map((s) => s.id)]),
+  };
+  function need(
+    kind: keyof typeof known,
+    id: string | undefined,
+    path: PropertyKey[],
+  ) {
+    if (id !== undefined && !known[kind].has(id)) {
+      report(path, `"${id}" is not a ${kind} of this configuration`);
+    }
+  }
+  checkUnique(dataCentres, ["regions"], report);
+  checkUnique(fleet.members.map((m) => m.id), ["members"], report);
+  checkUnique(fleet.services.map((s) => s.id), ["services"], report);
+  checkUnique(fleet.exceptions.map((e) => e.id), ["exceptions"], report);
+  checkUnique(fleet.moves.map((m) => m.id), ["moves"], report);
+  const targetIds = fleet.services.flatMap((s) => s.targets.map((t) => t.id));
+  checkUnique(targetIds, ["services"], report);
+  fleet.links.forEach((link, i) =>
+    link.between.forEach((region, j) =>
+      need("region", region, ["links", i, "between", j])
+    )
+  );
+  fleet.services.forEach((service, i) => {
+    service.members.forEach((m, j) =>
+      need("member", m, ["services", i, "members", j])
+    );
+    service.targets.forEach((t, j) =>
+      need("dataCentre", t.dataCentre, [
+        "services",
+        i,
+        "targets",
+        j,
+        "dataCentre",
+      ])
+    );
+  });
+  fleet.sites.forEach((site, i) =>
+    need("dataCentre", site.dataCentre, ["sites", i, "dataCentre"])
+  );
+  fleet.clientBlocks.forEach((block, i) =>
+    need("site", block.site, ["clientBlocks", i, "site"])
+  );
+  fleet.exceptions.forEach((exception, i) => {
+    const path = ["exceptions", i, "match"];
+    need("member", exception.match.member, [...path, "member"]);
+    need("service", exception.match.service, [...path, "service"]);
+    need("dataCentre", exception.match.dataCentre, [...path, "dataCentre"]);
+    if (Object.keys(exception.change).length === 0) {
+      report(
+        ["exceptions", i, "change"],
+        "expected at least one field to change",
+      );
+    }
+  });
+  fleet.moves.forEach((move, i) => {
+    const path = ["moves", i];
+    need("service", move.service, [...path, "service"]);
+    need("dataCentre", move.from, [...path, "from"]);
+    need("dataCentre", move.to, [...path, "to"]);
+    checkMove(move, path, report);
+  });
+  return problems;
+}
--- /dev/null
+++ b/packages/entry/src/caller_server.ts
@@ -0,0 +1,408 @@
+/**
+ * The HTTP server for callers: look-ups, tickets and requests.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import {
+  SteeringError,
+  toSteeringError,
+} from "@bamboolane/errors/steering_error";
+import type { TicketBook } from "@bamboolane/idempotency/ticket_book";
+import type { CrashWatch } from "@bamboolane/route/crash_watch";
+import type { LaneLearner } from "@bamboolane/route/lane_learner";
+import { Outcome, type RequestInfo } from "@bamboolane/types/request";
+import {
+  type AnswerMarks,
+  writeAnswer,
+  writeFailure,
+  writeJson,
+} from "./answer_writer.ts";
+import {
+  type Answer,
+  checkNotRun,
+  newTrace,
+  readBody,
+  type RequestBody,
+  type Runner,
+  type Work,
+} from "./answer.ts";
+import type { EntryContext } from "./context.ts";
+import { Invariant } from "./invariants.ts";
+import type { LookupHandler } from "./lookup_handler.ts";
+import type { MemberStats } from "./member_stats.ts";
+import {
+  isFirstSend,
+  parseRequest,
+  parseRunUrl,
+  requestHeaders,
+  runPrefix,
+} from "./parse_request.ts";
+import type { SteeringState } from "./steering_state.ts";
+import { passHeaders } from "./target_client.ts";
+
+/** Options of {@link CallerServer}. */
+export interface CallerServerOptions {
+  context: EntryContext;
+  state: () => SteeringState | undefined;
+  lookups: LookupHandler;
+  tickets: TicketBook;
+  learner: LaneLearner;
+  crashes: CrashWatch;
+  stats: MemberStats;
+  run: Runner;
+  /** True once the instance gives out no more tickets. */
+  isLeaving: () => boolean;
+}
+
+/** Request bodies up to this size are held whole, so that they can be resent. */
+export const wholeBodyBytes = 65_536;
+const ownHeaders: ReadonlySet<string> = new Set(Object.values(requestHeaders));
+const headerLimitCode = "HPE_HEADER_OVERFLOW";
+
+/** Serves callers. */
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+  #inFlight = 0;
+  #stopping = false;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    const { limits } = options.context.settings;
+    this.#server = createServer({
+      maxHeaderSize: limits.headerBytes,
+      requestTimeout: limits.requestTimeoutMillis,
+      headersTimeout: Math.min(limits.requestTimeoutMillis, 10_000),
+      connectionsCheckingInterval: 1000,
+    }, (request, response) => this.#handle(request, response));
+    this.#server.maxConnections = limits.connections;
+    this.#server.on(
+      "clientError",
+      (error, socket) => refuseBroken(error, socket as Socket),
+    );
+  }
+
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  listen(address: string): Promise<void> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(Number(port), host, resolve);
+    });
+  }
+
+  /** Stops taking connections; resolves when the last request has ended. */
+  async finish(): Promise<void> {
+    this.#stopping = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    if (this.#inFlight > 0) {
+      await new Promise<void>((resolve) => this.#onIdle = resolve);
+    }
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const url = request.url ?? "/";
+    if (this.#stopping) response.setHeader("connection", "close");
+    try {
+      if (url.startsWith("/v1/lookup?")) {
+        return this.#options.lookups.handle(url, response);
+      }
+      if (url === "/v1/health") {
+        return writeJson(response, 200, { state: "serving" });
+      }
+      if (url === "/v1/tickets" && request.method === "POST") {
+        this.#issueTickets(request, response);
+        return;
+      }
+      if (url.startsWith(runPrefix)) {
+        this.#run(request, response, url);
+        return;
+      }
+      throw new SteeringError(
+        ResultCode.badRequest,
+        `No such path: ${url.slice(0, 80)}.`,
+      );
+    } catch (error) {
+      this.#refuse(response, error);
+    }
+  }
+
+  #refuse(response: ServerResponse, error: unknown): void {
+    const failure = toSteeringError(error, ResultCode.internal);
+    const entry = this.#options.context.settings.instance.id;
+    writeFailure(response, failure, { request: "", entry });
+  }
+
+  async #issueTickets(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      if (this.#options.isLeaving()) {
+        throw new SteeringError(ResultCode.stopping);
+      }
+      const state = this.#requireState();
+      const body = await this.#readBody(request);
+      const question = readTicketQuestion(body);
+      state.service(question.member, question.service);
+      const { limits, instance } = this.#options.context.settings;
+      const count = Math.min(question.count, limits.ticketsPerBatch);
+      const issued = this.#options.tickets.issue(question.member, count, {
+        nowMillis: this.#options.context.clock.nowMillis(),
+      });
+      writeJson(response, 200, { ...issued, entry: instance.id });
+    } catch (error) {
+      this.#refuse(response, error);
+    }
+  }
+
+  #requireState(): SteeringState {
+    const state = this.#options.state();
+    if (state === undefined) {
+      throw new SteeringError(ResultCode.noConfiguration);
+    }
+    return state;
+  }
+
+  async #readBody(request: IncomingMessage): Promise<RequestBody> {
+    const { bodyBytes } = this.#options.context.settings.limits;
+    const declared = Number(request.headers["content-length"] ?? 0);
+    if (declared > bodyBytes) throw new SteeringError(ResultCode.bodyTooLarge);
+    return await readBody(limitBody(request, bodyBytes), {
+      wholeBytes: wholeBodyBytes,
+    });
+  }
+
+  async #run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+  ): Promise<void> {
+    const { context } = this.#options;
+    const startedAtMillis = context.clock.nowMillis();
+    this.#inFlight++;
+    const abort = new AbortController();
+    response.once("close", () => {
+      if (!response.writableFinished) abort.abort();
+    });
+    let work: Work | undefined;
+    const marks: AnswerMarks = {
+      request: "",
+      entry: context.settings.instance.id,
+    };
+    try {
+      work = await this.#assembleWork(request, {
+        url,
+        startedAtMillis,
+        signal: abort.signal,
+      });
+      marks.request = work.info.id;
+      const answer = await this.#options.run(work);
+      await this.#write(response, { answer, marks, work });
+      this.#count(work.info, { startedAtMillis, result: "ok", served: true });
+    } catch (error) {
+      const failure = this.#truthful(
+        toSteeringError(error, ResultCode.internal),
+        work,
+        request,
+      );
+      writeFailure(response, failure, marks);
+      this.#logFailure(failure, { work, url, startedAtMillis });
+    } finally {
+      this.#inFlight--;
+      if (this.#inFlight === 0) this.#onIdle?.();
+    }
+  }
+
+  async #assembleWork(
+    request: IncomingMessage,
+    options: { url: string; startedAtMillis: number; signal: AbortSignal },
+  ): Promise<Work> {
+    const { context, learner, crashes } = this.#options;
+    if (this.#stopping) throw new SteeringError(ResultCode.stopping);
+    const state = this.#requireState();
+    const address = parseRunUrl(options.url);
+    state.service(address.member, address.service);
+    const body = await this.#readBody(request);
+    const { info, requestClass } = parseRequest(request, address, {
+      state,
+      learner,
+      body,
+      wallMillis: context.clock.wallMillis(),
+      maxTimeoutMillis: context.settings.limits.requestTimeoutMillis,
+    });
+    context.log.info("classify", {
+      request: info.id,
+      member: info.member,
+      service: info.service,
+      lane: info.lane,
+      why: requestClass.reason,
+    });
+    if (crashes.isHeld(info.fingerprint, context.clock.nowMillis())) {
+      throw new SteeringError(ResultCode.heldBack);
+    }
+    return {
+      info,
+      headers: passHeaders(request.rawHeaders).filter(([name]) =>
+        !ownHeaders.has(name)
+      ),
+      body,
+      deadlineMillis: options.startedAtMillis + info.timeoutMillis,
+      signal: options.signal,
+      move: "",
+      trace: newTrace(),
+    };
+  }
+
+  async #write(
+    response: ServerResponse,
+    parts: { answer: Answer; marks: AnswerMarks; work: Work },
+  ): Promise<void> {
+    const { answer, marks, work } = parts;
+    this.#options.context.invariants.check(
+      Invariant.answerMatches,
+      marks.request === work.info.id && !response.headersSent,
+      () => `request=${work.info.id} marks=${marks.request}`,
+    );
+    await writeAnswer(response, answer, marks);
+  }
+
+  /**
+   * A keyed send that was refused before its key was looked up may not say
+   * "not run": an earlier send with the same key may have run.
+   */
+  #truthful(
+    failure: SteeringError,
+    work: Work | undefined,
+    request: IncomingMessage,
+  ): SteeringError {
+    if (work) {
+      checkNotRun(work, failure.outcome, this.#options.context.invariants);
+    }
+    const keyed = request.headers[requestHeaders.key] !== undefined;
+    const covered = work?.trace.keySeen || isFirstSend(request);
+    if (failure.outcome !== Outcome.notRun || !keyed || covered) return failure;
+    return new SteeringError(ResultCode.refusedKeyUnseen, failure.message);
+  }
+
+  #count(
+    info: RequestInfo,
+    options: { startedAtMillis: number; result: string; served: boolean },
+  ): void {
+    const { context, stats } = this.#options;
+    const durationMillis = context.clock.nowMillis() - options.startedAtMillis;
+    stats.count(info, { ...options, durationMillis });
+    context.metrics.count("bamboolane_requests", 1, {
+      member: info.member,
+      service: info.service,
+      lane: info.lane,
+      result: options.result,
+    });
+    context.metrics.record(
+      "bamboolane_request_duration_millis",
+      durationMillis,
+      {
+        member: info.member,
+        service: info.service,
+        lane: info.lane,
+      },
+    );
+  }
+
+  #logFailure(
+    failure: SteeringError,
+    options: { work: Work | undefined; url: string; startedAtMillis: number },
+  ): void {
+    const { work } = options;
+    this.#options.context.log.info("refuse", {
+      request: work?.info.id,
+      url: options.url.slice(0, 200),
+      code: failure.info.code,
+      result: failure.info.name,
+      outcome: failure.outcome,
+      detail: failure.detail,
+    });
+    if (work === undefined) return;
+    this.#count(work.info, {
+      ...options,
+      result: failure.info.name,
+      served: false,
+    });
+  }
+}
+
+/** Breaks off a body that exceeds the limit. */
+async function* limitBody(
+  request: IncomingMessage,
+  limitBytes: number,
+): AsyncGenerator<Uint8Array> {
+  let size = 0;
+  for await (const chunk of request) {
+    size += chunk.byteLength;
+    if (size > limitBytes) throw new SteeringError(ResultCode.bodyTooLarge);
+    yield chunk;
+  }
+}
+
+interface TicketQuestion {
+  member: string;
+  service: string;
+  count: number;
+}
+
+function readTicketQuestion(body: RequestBody): TicketQuestion {
+  if (body.kind !== "whole") throw new SteeringError(ResultCode.bodyTooLarge);
+  let value: Partial<TicketQuestion>;
+  try {
+    value = JSON.parse(new TextDecoder().decode(body.bytes));
+  } catch {
+    throw new SteeringError(ResultCode.badRequest, "Expected a JSON body.");
+  }
+  const { member, service, count = 1 } = value ?? {};
+  if (typeof member !== "string" || typeof service !== "string") {
+    throw new SteeringError(
+      ResultCode.badRequest,
+      'Expected "member" and "service".',
+    );
+  }
+  if (!Number.isInteger(count) || count < 1) {
+    throw new SteeringError(
+      ResultCode.badRequest,
+      '"count": expected 1 or more.',
+    );
+  }
+  return { member, service, count };
+}
+
+/** Answers requests that the HTTP parser refused. */
+function refuseBroken(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const info = error.code === headerLimitCode
+    ? ResultCode.headerTooLarge
+    : ResultCode.badRequest;
+  const body = JSON.stringify(new SteeringError(info).toBody());
+  socket.end(
+    `HTTP/1.1 ${info.status} ${info.name}\r\ncontent-type: application/json\r\n` +
+      `content-length: ${body.length}\r\nbamboolane-code: ${info.code}\r\n` +
+      `bamboolane-outcome: ${info.outcome}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/packages/entry/src/config_task.ts
@@ -0,0 +1,285 @@
+/**
+ * The task that keeps the newest revision in force at this instance: it
+ * polls the head row as a relay, takes proofs from peers, fetches bodies and
+ * publishes operators' changes.
+ */
+import { AppliedConfig } from "@bamboolane/agree/applied_config";
+import {
+  contentHash,
+  decodeBody,
+  encodeBody,
+} from "@bamboolane/agree/content_hash";
+import {
+  type ConfigChange,
+  type Published,
+  publishRevision,
+} from "@bamboolane/agree/publish_revision";
+import { readHead } from "@bamboolane/agree/read_revision";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import {
+  BlockIndex,
+  buildBlockIndex,
+  decodeChunk,
+  encodeChunk,
+  splitBlocks,
+} from "@bamboolane/locate/block_index";
+import {
+  type BlockTable,
+  buildBlockTable,
+} from "@bamboolane/locate/block_table";
+import { type Platform, StoreUncertainError } from "@bamboolane/platform/ports";
+import type { ClientBlock, ConfigBody } from "@bamboolane/types/fleet";
+import type { EntryContext } from "./context.ts";
+import { Invariant } from "./invariants.ts";
+import { ObjectCache, type PeerFetch } from "./object_cache.ts";
+import { SteeringState } from "./steering_state.ts";
+
+/** Options of {@link ConfigTask}. */
+export interface ConfigTaskOptions {
+  context: EntryContext;
+  platform: Platform;
+  /** True where this instance polls the head row for its data centre. */
+  isRelay: () => boolean;
+  /** Fetches an object from a peer. */
+  fetchFrom: (peer: string, hash: string) => Promise<Uint8Array | undefined>;
+  /** Called after a revision was applied. */
+  onApplied: (state: SteeringState) => void;
+}
+
+/** A proof of the newest revision from a peer or from the store. */
+export interface ConfigProof {
+  revision: number;
+  hash: string;
+  provenAtMillis: number;
+  /** Empty for the store. */
+  peer: string;
+}
+
+/** After a failed poll the next waits at most this many poll intervals. */
+const maxBackoff = 8;
+
+/** Keeps the configuration. */
+export class ConfigTask {
+  readonly #options: ConfigTaskOptions;
+  readonly #applied: AppliedConfig;
+  readonly #objects: ObjectCache;
+  readonly #fetching = new Set<string>();
+  #chunks = new Map<string, { hash: string; table: BlockTable }>();
+  #state: SteeringState | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #failures = 0;
+  #stopped = false;
+
+  constructor(options: ConfigTaskOptions) {
+    this.#options = options;
+    const { freshnessMillis } = options.context.settings.timers;
+    this.#applied = new AppliedConfig({ freshnessMillis });
+    this.#objects = new ObjectCache(options.platform);
+  }
+
+  /** Tables of the revision in force; undefined before the first. */
+  get state(): SteeringState | undefined {
+    return this.#state;
+  }
+
+  get revision(): number {
+    return this.#applied.revision;
+  }
+
+  get hash(): string {
+    return this.#applied.hash;
+  }
+
+  get body(): ConfigBody | undefined {
+    return this.#applied.applied?.body;
+  }
+
+  freshAgeMillis(): number {
+    return this.#applied.freshAgeMillis(this.#now());
+  }
+
+  isCutOff(): boolean {
+    return this.#applied.isCutOff(this.#now());
+  }
+
+  /** Serves an immutable object to a peer. */
+  object(hash: string): Uint8Array | undefined {
+    return this.#objects.get(hash);
+  }
+
+  async start(): Promise<void> {
+    await this.#poll();
+    this.#schedule();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  /** Takes what a peer says about the newest revision. */
+  async onProof(proof: ConfigProof): Promise<void> {
+    const advice = this.#applied.judge(proof);
+    switch (advice.kind) {
+      case "current":
+      case "stale-source":
+        return;
+      case "contradiction":
+        this.#options.context.log.error("config_contradiction", {
+          detail: advice.detail,
+        });
+        return;
+      case "behind":
+        await this.#catchUp(proof);
+    }
+  }
+
+  /** Publishes a change and applies it here. */
+  async publish(change: ConfigChange): Promise<Published> {
+    const published = await publishRevision(this.#options.platform, change);
+    const content = encodeBody(published.body);
+    this.#objects.put(published.head.hash, content);
+    await this.#apply(published.head.hash, published.body, undefined);
+    return published;
+  }
+
+  /** Writes a block table's chunks; returns their names for a revision. */
+  async writeBlocks(blocks: readonly ClientBlock[]): Promise<string[]> {
+    const names: string[] = [];
+    for (const chunk of splitBlocks(blocks)) {
+      const content = encodeChunk(chunk);
+      const hash = contentHash(content);
+      if (this.#objects.get(hash) === undefined) {
+        await this.#options.platform.objects.write(hash, content).catch(
+          (error) => {
+            throw new SteeringError(ResultCode.storeAway, String(error));
+          },
+        );
+        this.#objects.put(hash, content);
+      }
+      names.push(`${chunk.bucket}:${hash}`);
+    }
+    return names;
+  }
+
+  #schedule(): void {
+    if (this.#stopped) return;
+    const { headPollMillis } = this.#options.context.settings.timers;
+    const factor = Math.min(maxBackoff, 2 ** this.#failures);
+    const spread = 0.75 + 0.5 * this.#options.context.random();
+    this.#timer = setTimeout(async () => {
+      if (this.#shouldPoll()) await this.#poll();
+      this.#schedule();
+    }, headPollMillis * factor * spread);
+  }
+
+  /** Relays poll; others only when no proof has come for half the freshness. */
+  #shouldPoll(): boolean {
+    const { freshnessMillis } = this.#options.context.settings.timers;
+    return this.#options.isRelay() ||
+      this.freshAgeMillis() > freshnessMillis / 2;
+  }
+
+  async #poll(): Promise<void> {
+    const askedAtMillis = this.#now();
+    try {
+      const { head } = await readHead(this.#options.platform);
+      this.#failures = 0;
+      if (head === undefined) return;
+      await this.onProof({ ...head, provenAtMillis: askedAtMillis, peer: "" });
+    } catch (error) {
+      this.#failures++;
+      const reason = error instanceof StoreUncertainError
+        ? error.message
+        : String(error);
+      this.#options.context.log.warn("head_poll_failed", {
+        reason,
+        failures: this.#failures,
+      });
+    }
+  }
+
+  async #catchUp(proof: ConfigProof): Promise<void> {
+    if (this.#fetching.has(proof.hash)) return;
+    this.#fetching.add(proof.hash);
+    try {
+      const fromPeer: PeerFetch | undefined = proof.peer === ""
+        ? undefined
+        : (hash) => this.#options.fetchFrom(proof.peer, hash);
+      const content = await this.#objects.fetch(proof.hash, fromPeer);
+      const body = content && decodeBody(content, proof.hash);
+      if (body === undefined) return;
+      await this.#apply(proof.hash, body, fromPeer);
+      this.#applied.judge(proof);
+    } finally {
+      this.#fetching.delete(proof.hash);
+    }
+  }
+
+  async #apply(
+    hash: string,
+    body: ConfigBody,
+    fromPeer: PeerFetch | undefined,
+  ): Promise<void> {
+    const blocks = await this.#loadBlocks(body, fromPeer);
+    if (blocks === undefined) return;
+    const before = this.#applied.revision;
+    const { revision, changeId } = body;
+    if (!this.#applied.apply({ head: { revision, hash, changeId }, body })) {
+      return;
+    }
+    const { context } = this.#options;
+    context.invariants.check(
+      Invariant.revisionForward,
+      this.#applied.revision > before,
+      () => `before=${before} after=${this.#applied.revision}`,
+    );
+    this.#objects.keepOnly(
+      new Set([hash, ...body.blockChunks.map((name) => name.split(":")[1])]),
+    );
+    this.#state = new SteeringState({
+      revision,
+      fleet: body.fleet,
+      blocks,
+      dataCentre: context.settings.instance.dataCentre,
+    });
+    context.log.info("config_applied", {
+      revision,
+      change: changeId,
+      operator: body.operator,
+      summary: body.summary,
+    });
+    this.#options.onApplied(this.#state);
+  }
+
+  /** Builds the block index; only chunks that changed are fetched and built. */
+  async #loadBlocks(
+    body: ConfigBody,
+    fromPeer: PeerFetch | undefined,
+  ): Promise<BlockIndex | undefined> {
+    if (body.blockChunks.length === 0) {
+      return buildBlockIndex(body.fleet.clientBlocks);
+    }
+    const next = new Map<string, { hash: string; table: BlockTable }>();
+    for (const name of body.blockChunks) {
+      const [bucket, hash] = name.split(":");
+      const known = this.#chunks.get(bucket);
+      if (known?.hash === hash) {
+        next.set(bucket, known);
+        continue;
+      }
+      const content = await this.#objects.fetch(hash, fromPeer);
+      if (content === undefined) return undefined;
+      next.set(bucket, { hash, table: buildBlockTable(decodeChunk(content)) });
+    }
+    this.#chunks = next;
+    return new BlockIndex(
+      new Map([...next].map(([bucket, chunk]) => [bucket, chunk.table])),
+    );
+  }
+
+  #now(): number {
+    return this.#options.context.clock.nowMillis();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/forward_server.ts
@@ -0,0 +1,178 @@
+/**
+ * Serves work that other entries hand over.
+ */
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+import { Buffer } from "node:buffer";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import {
+  SteeringError,
+  toSteeringError,
+} from "@bamboolane/errors/steering_error";
+import type {
+  ForwardDown,
+  ForwardHead,
+  ForwardUp,
+  PoolLoad,
+} from "@bamboolane/wire/generated/bamboolane/v1/peer";
+import {
+  type Answer,
+  checkNotRun,
+  newTrace,
+  readBody,
+  type Work,
+} from "./answer.ts";
+import type { EntryContext } from "./context.ts";
+import {
+  ForwardRole,
+  fromForwardHead,
+  fromWireHeaders,
+} from "./forward_codec.ts";
+import type { LinkPacer } from "./link_pacer.ts";
+
+type DownStream = ServerDuplexStream<ForwardUp, ForwardDown>;
+
+/** What a forwarded request may ask for, by role. */
+export interface ForwardHandlers {
+  run(work: Work): Promise<Answer>;
+  ticket(work: Work): Promise<Answer>;
+  claim(work: Work): Promise<Answer>;
+  load(service: string): PoolLoad;
+  /** Region of a sender; empty where it is not known. */
+  regionOf(sender: string): string;
+}
+
+/** Options of {@link serveForward}. */
+export interface ForwardServerOptions {
+  context: EntryContext;
+  pacer: LinkPacer;
+  handlers: ForwardHandlers;
+  /** Bodies up to this size are held whole. Unit: bytes. */
+  wholeBytes: number;
+}
+
+async function* readChunks(
+  iterator: AsyncIterator<ForwardUp>,
+): AsyncGenerator<Uint8Array> {
+  for (;;) {
+    const next = await iterator.next();
+    const part = next.done ? undefined : next.value.part;
+    switch (part?.$case) {
+      case "body":
+        yield part.body;
+        break;
+      case "end":
+        return;
+      default:
+        throw new SteeringError(
+          ResultCode.badRequest,
+          "The request's body was cut short.",
+        );
+    }
+  }
+}
+
+function dispatch(
+  handlers: ForwardHandlers,
+  head: ForwardHead,
+  work: Work,
+): Promise<Answer> {
+  switch (head.role) {
+    case ForwardRole.FORWARD_ROLE_TICKET:
+      return handlers.ticket(work);
+    case ForwardRole.FORWARD_ROLE_CLAIM:
+      return handlers.claim(work);
+    default:
+      return handlers.run(work);
+  }
+}
+
+async function write(stream: DownStream, message: ForwardDown): Promise<void> {
+  if (stream.write(message)) return;
+  await new Promise<void>((resolve) => {
+    stream.once("drain", resolve);
+    stream.once("cancelled", resolve);
+  });
+}
+
+async function sendAnswer(
+  stream: DownStream,
+  answer: Answer,
+  options: ForwardServerOptions & {
+    work: Work;
+    region: string;
+    signal: AbortSignal;
+  },
+): Promise<void> {
+  const headers = answer.headers.map(([name, value]) => ({ name, value }));
+  const head = { status: answer.status, headers, target: answer.target };
+  await write(stream, { part: { $case: "head", head } });
+  for await (const chunk of answer.body) {
+    if (options.signal.aborted) return answer.cancel();
+    await options.pacer.pass(chunk.byteLength, options.work.info.lane, options);
+    await write(stream, { part: { $case: "body", body: Buffer.from(chunk) } });
+  }
+  const end = options.handlers.load(options.work.info.service);
+  await write(stream, { part: { $case: "end", end } });
+}
+
+async function readWork(
+  stream: DownStream,
+  options: ForwardServerOptions & { signal: AbortSignal },
+): Promise<{ head: ForwardHead; work: Work }> {
+  const iterator = stream[Symbol.asyncIterator]() as AsyncIterator<ForwardUp>;
+  const first = await iterator.next();
+  const part = first.done ? undefined : first.value.part;
+  if (part?.$case !== "head") {
+    throw new SteeringError(ResultCode.badRequest, "No head.");
+  }
+  const head = part.head;
+  const body = await readBody(readChunks(iterator), options);
+  const work: Work = {
+    info: fromForwardHead(head),
+    headers: fromWireHeaders(head.headers),
+    body,
+    deadlineMillis: options.context.clock.nowMillis() + head.timeoutMillis,
+    signal: options.signal,
+    move: head.move,
+    trace: newTrace(),
+  };
+  return { head, work };
+}
+
+/** Serves one forwarded request. */
+export async function serveForward(
+  stream: DownStream,
+  options: ForwardServerOptions,
+): Promise<void> {
+  const abort = new AbortController();
+  stream.on("cancelled", () => abort.abort());
+  stream.on("error", () => abort.abort());
+  let answer: Answer | undefined;
+  let work: Work | undefined;
+  try {
+    const request = await readWork(stream, {
+      ...options,
+      signal: abort.signal,
+    });
+    const { head } = request;
+    work = request.work;
+    answer = await dispatch(options.handlers, head, work);
+    const region = options.handlers.regionOf(head.sender);
+    await sendAnswer(stream, answer, {
+      ...options,
+      work,
+      region,
+      signal: abort.signal,
+    });
+  } catch (error) {
+    answer?.cancel();
+    const failure = toSteeringError(error, ResultCode.internal);
+    if (work) checkNotRun(work, failure.outcome, options.context.invariants);
+    const refusal = { code: failure.info.code, detail: failure.detail };
+    if (!abort.signal.aborted) {
+      stream.write({ part: { $case: "refusal", refusal } });
+    }
+  } finally {
+    stream.end();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/invariants.ts
@@ -0,0 +1,72 @@
+/**
+ * The product's promises as assertions that always run. Each counts its
+ * checks; a breach logs one line and, where the settings say so, stops the
+ * process.
+ */
+import type { EventLog } from "@bamboolane/logger/create_logger";
+import type { Metrics } from "@bamboolane/metrics/create_metrics";
+
+/** Names of the invariants. */
+export const Invariant = {
+  moveCap: "move-cap",
+  regionCap: "region-cap",
+  answerMatches: "answer-matches",
+  notRunProven: "not-run-proven",
+  atMostOnce: "at-most-once",
+  noWorkToLeaving: "no-work-to-leaving",
+  gracefulStop: "graceful-stop",
+  revisionForward: "revision-forward",
+} as const;
+
+/** One of the values of {@link Invariant}. */
+export type Invariant = typeof Invariant[keyof typeof Invariant];
+
+/** Checks and breaches of one invariant. */
+export interface InvariantCount {
+  checks: number;
+  breaches: number;
+}
+
+/** Options of {@link Invariants}. */
+export interface InvariantsOptions {
+  log: EventLog;
+  metrics: Metrics;
+  /** Called after a breach was logged. */
+  onBreach: (name: Invariant) => void;
+}
+
+/** Runs and counts assertions. */
+export class Invariants {
+  readonly #options: InvariantsOptions;
+  readonly #counts = new Map<Invariant, InvariantCount>(
+    Object.values(Invariant).map((name) => [name, { checks: 0, breaches: 0 }]),
+  );
+
+  constructor(options: InvariantsOptions) {
+    this.#options = options;
+  }
+
+  /** Asserts `holds`; `detail` is only asked for after a breach. */
+  check(name: Invariant, holds: boolean, detail: () => string): void {
+    const count = this.#counts.get(name) as InvariantCount;
+    count.checks++;
+    this.#options.metrics.count("bamboolane_invariant_checks", 1, {
+      invariant: name,
+    });
+    if (holds) return;
+    count.breaches++;
+    this.#options.metrics.count("bamboolane_invariant_breaches", 1, {
+      invariant: name,
+    });
+    this.#options.log.error("invariant_breach", {
+      invariant: name,
+      detail: detail(),
+    });
+    this.#options.onBreach(name);
+  }
+
+  /** Counts so far, by name. */
+  counts(): Record<string, InvariantCount> {
+    return Object.fromEntries(this.#counts);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/member_stats.ts
@@ -0,0 +1,113 @@
+/**
+ * Counts what each member was served, for its board's report. Kept in
+ * memory and written behind to the table, one row per instance and day.
+ */
+import {
+  build,
+  encodeIntoCompressedBase64,
+  type Histogram,
+} from "hdr-histogram-js";
+import type { Lane } from "@bamboolane/types/fleet";
+import type {
+  LaneStats,
+  MemberStatsValue,
+} from "@bamboolane/report/assemble_report";
+
+const maxMillis = 3_600_000;
+const maxGroups = 10_000;
+
+interface Group {
+  member: string;
+  service: string;
+  lane: Lane;
+  served: number;
+  slotMillis: number;
+  results: Map<string, number>;
+  histogram: Histogram;
+}
+
+/** Statistics of all members at one instance. */
+export class MemberStats {
+  readonly #groups = new Map<string, Group>();
+  readonly #startedAtMillis: number;
+
+  constructor(options: { wallMillis: number }) {
+    this.#startedAtMillis = options.wallMillis;
+  }
+
+  /** Counts one answered request. */
+  count(
+    key: { member: string; service: string; lane: Lane },
+    options: { result: string; durationMillis: number; served: boolean },
+  ): void {
+    const group = this.#group(key);
+    if (group === undefined) return;
+    group.results.set(
+      options.result,
+      (group.results.get(options.result) ?? 0) + 1,
+    );
+    if (!options.served) return;
+    group.served++;
+    group.histogram.recordValue(
+      Math.min(maxMillis, Math.max(1, Math.round(options.durationMillis))),
+    );
+  }
+
+  /** Counts the time that a request held a slot. */
+  addSlotTime(
+    key: { member: string; service: string; lane: Lane },
+    slotMillis: number,
+  ): void {
+    const group = this.#group(key);
+    if (group !== undefined) group.slotMillis += slotMillis;
+  }
+
+  /** Values of one member, as they are stored. */
+  export(member: string, options: { wallMillis: number }): MemberStatsValue {
+    const lanes: LaneStats[] = [];
+    for (const group of this.#groups.values()) {
+      if (group.member !== member) continue;
+      lanes.push({
+        service: group.service,
+        lane: group.lane,
+        served: group.served,
+        slotMillis: group.slotMillis,
+        results: Object.fromEntries(group.results),
+        histogram: encodeIntoCompressedBase64(group.histogram),
+      });
+    }
+    return {
+      member,
+      fromMillis: this.#startedAtMillis,
+      toMillis: options.wallMillis,
+      lanes,
+    };
+  }
+
+  /** Members that were counted. */
+  members(): string[] {
+    return [
+      ...new Set([...this.#groups.values()].map((group) => group.member)),
+    ];
+  }
+
+  #group(
+    key: { member: string; service: string; lane: Lane },
+  ): Group | undefined {
+    const id = `${key.member}/${key.service}/${key.lane}`;
+    const known = this.#groups.get(id);
+    if (known !== undefined || this.#groups.size >= maxGroups) return known;
+    const group: Group = {
+      ...key,
+      served: 0,
+      slotMillis: 0,
+      results: new Map(),
+      histogram: build({
+        numberOfSignificantValueDigits: 2,
+        highestTrackableValue: maxMillis,
+      }),
+    };
+    this.#groups.set(id, group);
+    return group;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/membership_task.ts
@@ -0,0 +1,170 @@
+/**
+ * The task that owns membership: the member table, the heartbeat mesh and
+ * the seeds from the platform's instance list.
+ */
+import {
+  HeartbeatMesh,
+  type MeshListener,
+} from "@bamboolane/membership/heartbeat_mesh";
+import { MemberTable } from "@bamboolane/membership/member_table";
+import type { Platform } from "@bamboolane/platform/ports";
+import type { CrashSuspect, InstanceRecord } from "@bamboolane/types/instance";
+import { InstanceState } from "@bamboolane/types/instance";
+import { connectPeer, fetchPeerObject } from "@bamboolane/wire/peer_channel";
+import type { ConfigProof, ConfigTask } from "./config_task.ts";
+import type { EntryContext } from "./context.ts";
+
+/** Options of {@link MembershipTask}. */
+export interface MembershipTaskOptions {
+  context: EntryContext;
+  platform: Platform;
+  incarnation: number;
+  config: () => ConfigTask;
+  suspects: () => CrashSuspect[];
+  onSuspects: (suspects: CrashSuspect[]) => void;
+  onChange: () => void;
+}
+
+const maxRecords = 4096;
+const keepDeadMillis = 600_000;
+const seedEveryMillis = 10_000;
+const unreachableRefreshMillis = 250;
+const objectTimeoutMillis = 2000;
+
+/** Keeps membership. */
+export class MembershipTask {
+  readonly table: MemberTable;
+  readonly mesh: HeartbeatMesh;
+  readonly #options: MembershipTaskOptions;
+  #seedTimer: NodeJS.Timeout | undefined;
+  #unreachable = new Set<string>();
+  #unreachableAtMillis = -Infinity;
+
+  constructor(options: MembershipTaskOptions) {
+    this.#options = options;
+    const { context } = options;
+    const { settings } = context;
+    this.table = new MemberTable({
+      self: {
+        ...settings.instance,
+        callerAddress: settings.listen.callers,
+        peerAddress: settings.listen.peers,
+        incarnation: options.incarnation,
+        version: 1,
+        state: InstanceState.joining,
+        revision: 0,
+        cutOff: true,
+        pools: [],
+      },
+      maxRecords,
+      keepDeadMillis,
+    });
+    this.mesh = new HeartbeatMesh({
+      table: this.table,
+      secret: settings.credentials.peerSecret,
+      heartbeatMillis: settings.timers.heartbeatMillis,
+      suspectAfterMillis: settings.timers.suspectAfterMillis,
+      log: context.log,
+      now: () => context.clock.nowMillis(),
+      proof: () => {
+        const config = options.config();
+        return {
+          revision: config.revision,
+          hash: config.hash,
+          freshAgeMillis: config.freshAgeMillis(),
+        };
+      },
+      suspects: options.suspects,
+      listener: this.#listener(),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#seed();
+    this.mesh.start();
+    this.#seedTimer = setInterval(() => this.#seed(), seedEveryMillis);
+  }
+
+  stop(): void {
+    clearInterval(this.#seedTimer);
+    this.mesh.stop();
+  }
+
+  /** Changes the own record and tells peers at once. */
+  announce(
+    fields: Partial<
+      Pick<InstanceRecord, "state" | "revision" | "cutOff" | "pools">
+    >,
+  ): void {
+    this.table.updateSelf(fields, this.#options.context.clock.nowMillis());
+    this.mesh.kick();
+  }
+
+  /** Data centres believed to be out of reach. */
+  unreachable(): Set<string> {
+    const now = this.#options.context.clock.nowMillis();
+    if (now - this.#unreachableAtMillis >= unreachableRefreshMillis) {
+      this.#unreachableAtMillis = now;
+      this.#unreachable = this.mesh.unreachableDataCentres();
+    }
+    return this.#unreachable;
+  }
+
+  /** Fetches an object of the configuration from a peer. */
+  async fetchFrom(peer: string, hash: string): Promise<Uint8Array | undefined> {
+    const record = this.table.get(peer);
+    if (record === undefined) return undefined;
+    const { peerSecret } = this.#options.context.settings.credentials;
+    const connection = connectPeer(record.peerAddress, peerSecret);
+    try {
+      return await fetchPeerObject(connection, hash, objectTimeoutMillis);
+    } finally {
+      connection.close();
+    }
+  }
+
+  #listener(): MeshListener {
+    const { metrics } = this.#options.context;
+    return {
+      onProof: (proof: ConfigProof) => {
+        this.#options.config().onProof(proof).catch((error) =>
+          this.#options.context.log.warn("proof_failed", {
+            error: String(error),
+          })
+        );
+      },
+      onChange: () => this.#options.onChange(),
+      onSuspects: (suspects) => this.#options.onSuspects(suspects),
+      onTraffic: (direction, bytes) => {
+        metrics.count("bamboolane_heartbeats", 1, { direction });
+        metrics.count("bamboolane_heartbeat_bytes", bytes, { direction });
+      },
+    };
+  }
+
+  /** The platform's list only seeds the mesh; what peers say replaces it. */
+  async #seed(): Promise<void> {
+    const { platform, context } = this.#options;
+    try {
+      for (const listed of await platform.instances.list()) {
+        if (this.table.get(listed.id) !== undefined) continue;
+        const placeholder: InstanceRecord = {
+          id: listed.id,
+          dataCentre: listed.dataCentre,
+          region: "",
+          callerAddress: "",
+          peerAddress: listed.peerAddress,
+          incarnation: 0,
+          version: 0,
+          state: InstanceState.joining,
+          revision: 0,
+          cutOff: true,
+          pools: [],
+        };
+        this.table.merge(placeholder, context.clock.nowMillis());
+      }
+    } catch (error) {
+      context.log.warn("instance_list_failed", { reason: String(error) });
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/parse_request.ts
@@ -0,0 +1,146 @@
+/**
+ * Reads a caller's request into plain data for decisions.
+ */
+import { hash, randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import { looksLikeTicket } from "@bamboolane/idempotency/ticket_book";
+import {
+  classifyRequest,
+  type RequestClass,
+} from "@bamboolane/route/classify_request";
+import type { LaneLearner } from "@bamboolane/route/lane_learner";
+import type { IdempotencyKey, RequestInfo } from "@bamboolane/types/request";
+import type { RequestBody } from "./answer.ts";
+import type { SteeringState } from "./steering_state.ts";
+import { timeoutHeader } from "./target_client.ts";
+
+/** Path prefix of requests to services: `/v1/run/MEMBER/SERVICE/PATH`. */
+export const runPrefix = "/v1/run/";
+/** Request headers of the system. */
+export const requestHeaders = {
+  key: "idempotency-key",
+  timeout: timeoutHeader,
+  client: "bamboolane-client",
+  /** `true` when the key was never sent before. */
+  firstSend: "bamboolane-first-send",
+} as const;
+
+const keyPattern = /^[\x21-\x7e]{1,200}$/;
+
+/** The address parts of a request's URL. */
+export interface RunAddress {
+  member: string;
+  service: string;
+  path: string;
+}
+
+/** Splits `/v1/run/MEMBER/SERVICE/PATH`. */
+export function parseRunUrl(url: string): RunAddress {
+  const rest = url.slice(runPrefix.length);
+  const first = rest.indexOf("/");
+  const second = rest.indexOf("/", first + 1);
+  if (first <= 0 || second <= first + 1) {
+    throw new SteeringError(
+      ResultCode.badRequest,
+      `Expected ${runPrefix}MEMBER/SERVICE/PATH.`,
+    );
+  }
+  return {
+    member: rest.slice(0, first),
+    service: rest.slice(first + 1, second),
+    path: rest.slice(second),
+  };
+}
+
+function readKey(request: IncomingMessage): IdempotencyKey {
+  const value = request.headers[requestHeaders.key];
+  if (value === undefined) return { kind: "none" };
+  if (Array.isArray(value) || !keyPattern.test(value)) {
+    throw new SteeringError(
+      ResultCode.badRequest,
+      "Idempotency-Key: expected 1 to 200 visible characters.",
+    );
+  }
+  return looksLikeTicket(value)
+    ? { kind: "ticket", value }
+    : { kind: "claim", value };
+}
+
+function readTimeout(request: IncomingMessage, fallbackMillis: number): number {
+  const value = request.headers[requestHeaders.timeout];
+  if (value === undefined) return fallbackMillis;
+  const millis = Number(value);
+  if (!Number.isFinite(millis) || millis <= 0) {
+    throw new SteeringError(
+      ResultCode.badRequest,
+      `${requestHeaders.timeout}: expected a positive number of milliseconds.`,
+    );
+  }
+  return millis;
+}
+
+function readClient(request: IncomingMessage): string {
+  const value = request.headers[requestHeaders.client];
+  if (typeof value === "string") return value;
+  return (request.socket.remoteAddress ?? "").replace("::ffff:", "");
+}
+
+/** True where the caller says that it never sent the key before. */
+export function isFirstSend(request: IncomingMessage): boolean {
+  return request.headers[requestHeaders.firstSend] === "true";
+}
+
+function fingerprintOf(
+  address: RunAddress,
+  request: { method: string; body: RequestBody },
+): string {
+  const content =
+    request.body.kind === "whole" && request.body.bytes.byteLength > 0
+      ? hash("sha1", request.body.bytes, "hex")
+      : "";
+  return `${request.method} ${address.member}/${address.service}${address.path} ${content}`;
+}
+
+/** Options of {@link parseRequest}. */
+export interface ParseOptions {
+  state: SteeringState;
+  learner: LaneLearner;
+  body: RequestBody;
+  wallMillis: number;
+  maxTimeoutMillis: number;
+}
+
+/** Reads and classifies a request. */
+export function parseRequest(
+  request: IncomingMessage,
+  address: RunAddress,
+  options: ParseOptions,
+): { info: RequestInfo; requestClass: RequestClass } {
+  const { state, learner, body } = options;
+  const service = state.service(address.member, address.service);
+  const method = request.method ?? "GET";
+  const requestClass = classifyRequest(
+    service,
+    { method, path: address.path },
+    {
+      isLong: (routeKey) => learner.isLong(routeKey),
+    },
+  );
+  const { values } = state.defaultsFor(address.member, service.id, options);
+  const timeout = readTimeout(request, values.timeoutMillis);
+  const info: RequestInfo = {
+    id: randomUUID(),
+    ...address,
+    method,
+    client: readClient(request),
+    lane: requestClass.lane,
+    idempotent: requestClass.idempotent,
+    key: readKey(request),
+    timeoutMillis: Math.min(timeout, options.maxTimeoutMillis),
+    routeKey: requestClass.routeKey,
+    fingerprint: fingerprintOf(address, { method, body }),
+  };
+  return { info, requestClass };
+}
--- /dev/null
+++ b/packages/entry/src/router.ts
@@ -0,0 +1,234 @@
+/**
+ * Routes work: chooses data centres in order, runs the work in the own pool
+ * or hands it to the pool's owner, and tries again where that is safe.
+ */
+import { ResultCode } from "@bamboolane/errors/result_code";
+import {
+  SteeringError,
+  toSteeringError,
+} from "@bamboolane/errors/steering_error";
+import {
+  applyMoves,
+  chooseDataCentres,
+  type DataCentreCandidate,
+} from "@bamboolane/route/choose_data_centre";
+import { AttemptBudget } from "@bamboolane/route/attempt_budget";
+import type { ServiceConfig } from "@bamboolane/types/fleet";
+import { Outcome } from "@bamboolane/types/request";
+import { type Answer, isReplayable, type Work } from "./answer.ts";
+import type { EntryContext } from "./context.ts";
+import { ForwardRole } from "./forward_codec.ts";
+import type { ForwardClient } from "./forward_client.ts";
+import { Invariant } from "./invariants.ts";
+import type { MoveMeter } from "./move_meter.ts";
+import type { PoolDirectory } from "./pool_directory.ts";
+import type { PoolTask } from "./pool_task.ts";
+import type { SteeringState } from "./steering_state.ts";
+
+/** A routing decision, as logged and as explained. */
+export interface RouteDecision {
+  request: string;
+  home: string;
+  move: string;
+  chosen: string;
+  why: string;
+  over: string;
+}
+
+/** Options of {@link Router}. */
+export interface RouterOptions {
+  context: EntryContext;
+  state: () => SteeringState;
+  directory: PoolDirectory;
+  forward: ForwardClient;
+  meter: MoveMeter;
+  isCutOff: () => boolean;
+  /** The own pool of a service; undefined where there is none. */
+  ownPool: (service: string) => PoolTask | undefined;
+  onDecision: (decision: RouteDecision) => void;
+}
+
+const maxDataCentres = 4;
+/** Second tries at one data centre when its owner has just changed. */
+const maxOwnerChanges = 3;
+const ownerChangePauseMillis = 100;
+
+/** Formats candidates for a log line. */
+export function formatCandidates(
+  candidates: readonly DataCentreCandidate[],
+): string {
+  return candidates.map((c) => `${c.dataCentre}(${Math.round(c.costMillis)})`)
+    .join("|");
+}
+
+/** Routes work to a data centre. */
+export class Router {
+  readonly #options: RouterOptions;
+  readonly #retryBudget = new AttemptBudget({ initial: 3 });
+
+  constructor(options: RouterOptions) {
+    this.#options = options;
+  }
+
+  /** Plans a request without side effects, for look-ups and `explain`. */
+  plan(
+    service: ServiceConfig,
+    question: { client: string },
+  ): { home: string; move: string; candidates: DataCentreCandidate[] } {
+    const state = this.#options.state();
+    const base = state.homeOf(question.client);
+    const moved = applyMoves(state.fleet, {
+      service: service.id,
+      home: base.dataCentre,
+      blockKey: base.blockKey,
+    });
+    const candidates = this.#candidates(service, moved.home);
+    return { home: moved.home, move: moved.moveId ?? "", candidates };
+  }
+
+  /** Runs work in the best data centre that admits it. */
+  async run(work: Work): Promise<Answer> {
+    const state = this.#options.state();
+    const service = state.service(work.info.member, work.info.service);
+    const home = this.#home(work, service);
+    const { values } = state.defaultsFor(work.info.member, service.id, {
+      wallMillis: this.#options.context.clock.wallMillis(),
+    });
+    this.#retryBudget.earn(values.retryBudget);
+    const tried = new Set<string>();
+    let failure = new SteeringError(ResultCode.noTarget);
+    let ownerChanges = 0;
+    while (tried.size < maxDataCentres) {
+      const candidates = this.#candidates(service, home).filter((c) =>
+        !tried.has(c.dataCentre)
+      );
+      const best = candidates[0];
+      if (best === undefined) break;
+      this.#logDecision(work, { home, best, candidates });
+      try {
+        return await this.#runAt(work, best.dataCentre);
+      } catch (error) {
+        const next = toSteeringError(error, ResultCode.internal);
+        if (failure.outcome === Outcome.notRun) failure = next;
+        if (!this.#mayTryElsewhere(work, next)) throw failure;
+        if (
+          next.info === ResultCode.notOwner && ++ownerChanges <= maxOwnerChanges
+        ) {
+          await new Promise((resolve) =>
+            setTimeout(resolve, ownerChangePauseMillis)
+          );
+          continue;
+        }
+        tried.add(best.dataCentre);
+      }
+    }
+    throw failure;
+  }
+
+  #candidates(service: ServiceConfig, home: string): DataCentreCandidate[] {
+    const state = this.#options.state();
+    return chooseDataCentres({
+      fleet: state.fleet,
+      service,
+      home,
+      here: this.#options.context.settings.instance.dataCentre,
+      pools: this.#options.directory.views(service),
+      cutOff: this.#options.isCutOff(),
+    });
+  }
+
+  /** Applies moves, as far as this instance's meter allows. */
+  #home(work: Work, service: ServiceConfig): string {
+    const state = this.#options.state();
+    const base = state.homeOf(work.info.client);
+    const moves = state.fleet.moves.filter((m) =>
+      m.service === service.id && m.from === base.dataCentre
+    );
+    for (const move of moves) {
+      const moved = applyMoves({ ...state.fleet, moves: [move] }, {
+        service: service.id,
+        home: base.dataCentre,
+        blockKey: base.blockKey,
+      });
+      const { meter, context } = this.#options;
+      const wantsMove = moved.moveId !== undefined && !this.#options.isCutOff();
+      const admitted = meter.admit(move.id, move.capShare, { wantsMove });
+      context.invariants.check(
+        Invariant.moveCap,
+        meter.share(move.id) <= move.capShare,
+        () =>
+          `move=${move.id} share=${meter.share(move.id)} cap=${move.capShare}`,
+      );
+      if (!admitted) continue;
+      work.move = move.id;
+      return move.to;
+    }
+    return base.dataCentre;
+  }
+
+  async #runAt(work: Work, dataCentre: string): Promise<Answer> {
+    const { context, directory, forward, ownPool } = this.#options;
+    const owner = directory.owner(work.info.service, dataCentre);
+    if (owner === undefined) throw new SteeringError(ResultCode.noTarget);
+    if (owner.id === context.settings.instance.id) {
+      const pool = ownPool(work.info.service);
+      if (pool === undefined) throw new SteeringError(ResultCode.notOwner);
+      return await pool.run(work);
+    }
+    try {
+      return await forward.run(work, owner, {
+        role: ForwardRole.FORWARD_ROLE_RUN,
+      });
+    } catch (error) {
+      const info = toSteeringError(error, ResultCode.internal).info;
+      if (info === ResultCode.peerUnreachable || info === ResultCode.peerLost) {
+        directory.notePeerFailure(owner.id);
+      }
+      throw error;
+    }
+  }
+
+  #mayTryElsewhere(work: Work, failure: SteeringError): boolean {
+    const left = work.deadlineMillis - this.#options.context.clock.nowMillis();
+    if (work.signal.aborted || left <= 0 || !isReplayable(work.body)) {
+      return false;
+    }
+    if (failure.info === ResultCode.heldBack) return false;
+    if (failure.outcome === Outcome.notRun) return true;
+    if (!work.info.idempotent) return false;
+    switch (failure.info) {
+      case ResultCode.peerLost:
+      case ResultCode.targetLost:
+      case ResultCode.answerCut:
+        return this.#retryBudget.spend();
+      default:
+        return false;
+    }
+  }
+
+  #logDecision(
+    work: Work,
+    parts: {
+      home: string;
+      best: DataCentreCandidate;
+      candidates: DataCentreCandidate[];
+    },
+  ): void {
+    const decision: RouteDecision = {
+      request: work.info.id,
+      home: parts.home,
+      move: work.move,
+      chosen: parts.best.dataCentre,
+      why: parts.best.reason,
+      over: formatCandidates(parts.candidates),
+    };
+    this.#options.onDecision(decision);
+    this.#options.context.log.info("route", {
+      ...decision,
+      member: work.info.member,
+      service: work.info.service,
+      lane: work.info.lane,
+      attempt: work.trace.dispatches + 1,
+    });
+  }
+}
--- /dev/null
+++ b/packages/errors/src/steering_error.ts
@@ -0,0 +1,54 @@
+/**
+ * The typed error that travels through the system: a result code with detail.
+ */
+import type { Outcome } from "@bamboolane/types/request";
+import { readResultCode, type ResultCodeInfo } from "./result_code.ts";
+
+/** A refusal or failure, with its numbered code. */
+export class SteeringError extends Error {
+  readonly info: ResultCodeInfo;
+  readonly detail: string;
+
+  constructor(info: ResultCodeInfo, detail = "") {
+    super(detail === "" ? info.meaning : `${info.meaning} ${detail}`);
+    this.name = "SteeringError";
+    this.info = info;
+    this.detail = detail;
+  }
+
+  get outcome(): Outcome {
+    return this.info.outcome;
+  }
+
+  /** The body that callers and operators receive. */
+  toBody(): {
+    code: number;
+    result: string;
+    outcome: Outcome;
+    error: string;
+    remedy: string;
+  } {
+    return {
+      code: this.info.code,
+      result: this.info.name,
+      outcome: this.info.outcome,
+      error: this.message,
+      remedy: this.info.remedy,
+    };
+  }
+}
+
+/** Rebuilds an error that came over the wire as number and detail. */
+export function fromWire(code: number, detail: string): SteeringError {
+  return new SteeringError(readResultCode(code), detail);
+}
+
+/** Wraps anything thrown into a {@link SteeringError}. */
+export function toSteeringError(
+  error: unknown,
+  fallback: ResultCodeInfo,
+): SteeringError {
+  if (error instanceof SteeringError) return error;
+  const detail = error instanceof Error ? error.message : String(error);
+  return new SteeringError(fallback, detail);
+}
--- /dev/null
+++ b/packages/logger/src/create_logger.ts
@@ -0,0 +1,140 @@
+/**
+ * One key=value line per event, written in batches so that a line per
+ * decision stays cheap. tslog carries levels; the transport formats.
+ */
+import process from "node:process";
+import { Logger } from "tslog";
+
+/** Values that a log field may hold. */
+export type LogValue = string | number | boolean | undefined;
+
+/** Fields of one event. */
+export type LogFields = Record<string, LogValue>;
+
+/** Levels in rising order. */
+export const LogLevel = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+
+/** Name of a level. */
+export type LogLevelName = keyof typeof LogLevel;
+
+/** Writes events of one process. */
+export interface EventLog {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+  /** Writes what is buffered. */
+  flush(): void;
+}
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  level: LogLevelName;
+  /** Fields on every line. */
+  fixed?: LogFields;
+  /** Receives text; standard output by default. */
+  write?: (text: string) => void;
+}
+
+const flushDelayMillis = 50;
+const flushLines = 512;
+
+function formatValue(value: LogValue): string {
+  const text = String(value);
+  return /[\s"=]/.test(text) || text === "" ? JSON.stringify(text) : text;
+}
+
+/** Formats one line without its newline. */
+export function formatLine(
+  level: string,
+  event: string,
+  options: { fields: LogFields; timeMillis: number },
+): string {
+  let line = `time=${new Date(options.timeMillis).toISOString()}`;
+  line += ` level=${level} event=${event}`;
+  for (const name in options.fields) {
+    const value = options.fields[name];
+    if (value !== undefined) line += ` ${name}=${formatValue(value)}`;
+  }
+  return line;
+}
+
+class BufferedSink {
+  #lines: string[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  readonly #write: (text: string) => void;
+
+  constructor(write: (text: string) => void) {
+    this.#write = write;
+  }
+
+  add(line: string): void {
+    this.#lines.push(line);
+    if (this.#lines.length >= flushLines) return this.flush();
+    if (this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => this.flush(), flushDelayMillis);
+    this.#timer.unref();
+  }
+
+  flush(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    if (this.#lines.length === 0) return;
+    const text = this.#lines.join("\n") + "\n";
+    this.#lines = [];
+    this.#write(text);
+  }
+}
+
+/** Creates the event log of a process. */
+export function createLogger(options: LoggerOptions): EventLog {
+  const sink = new BufferedSink(
+    options.write ?? ((text) => process.stdout.write(text)),
+  );
+  const fixed = options.fixed ?? {};
+  const logger = new Logger<unknown>({
+    type: "hidden",
+    minLevel: LogLevel[options.level],
+    hideLogPositionForProduction: true,
+  });
+  logger.attachTransport((record) => {
+    const entry = record as unknown as {
+      0: string;
+      1: LogFields;
+      _meta: { logLevelName: string; date: Date };
+    };
+    sink.add(
+      formatLine(entry._meta.logLevelName.toLowerCase(), entry[0], {
+        fields: { ...fixed, ...entry[1] },
+        timeMillis: entry._meta.date.getTime(),
+      }),
+    );
+  });
+  const minimum = LogLevel[options.level];
+  function writer(
+    level: LogLevelName,
+    send: (e: string, f: LogFields) => void,
+  ) {
+    if (LogLevel[level] < minimum) return () => {};
+    return (event: string, fields: LogFields = {}) => send(event, fields);
+  }
+  return {
+    debug: writer("debug", (event, fields) => logger.debug(event, fields)),
+    info: writer("info", (event, fields) => logger.info(event, fields)),
+    warn: writer("warn", (event, fields) => logger.warn(event, fields)),
+    error: writer("error", (event, fields) => logger.error(event, fields)),
+    flush: () => sink.flush(),
+  };
+}
+
+/** A log that keeps nothing. */
+export function createSilentLogger(): EventLog {
+  const ignore = () => {};
+  return {
+    debug: ignore,
+    info: ignore,
+    warn: ignore,
+    error: ignore,
+    flush: ignore,
+  };
+}
--- /dev/null
+++ b/packages/metrics/src/create_metrics.ts
@@ -0,0 +1,100 @@
+/**
+ * The process's OpenTelemetry instruments. Callers get plain functions, so
+ * that decision code depends on no metrics library.
+ */
+import { MeterProvider } from "@opentelemetry/sdk-metrics";
+import { PrometheusExporter } from "@opentelemetry/exporter-prometheus";
+
+/** Labels of one measurement. */
+export type Labels = Record<string, string>;
+
+/** The instruments that the entry uses. */
+export interface Metrics {
+  count(name: CounterName, amount: number, labels?: Labels): void;
+  record(name: HistogramName, value: number, labels?: Labels): void;
+  gauge(name: GaugeName, read: () => number): void;
+  close(): Promise<void>;
+}
+
+/** Counters with their descriptions. */
+export const counters = {
+  bamboolane_requests: "Answered requests by member, service, lane and result.",
+  bamboolane_lookups: "Answered look-ups.",
+  bamboolane_decisions: "Routing decisions by kind.",
+  bamboolane_hedges: "Hedged attempts sent.",
+  bamboolane_retries: "Attempts after the first.",
+  bamboolane_invariant_checks: "Checks of each invariant.",
+  bamboolane_invariant_breaches: "Breaches of each invariant.",
+  bamboolane_heartbeats: "Heartbeat messages sent and received.",
+  bamboolane_heartbeat_bytes: "Bytes of heartbeat messages sent and received.",
+  bamboolane_store_calls: "Calls to the platform's store by kind.",
+  bamboolane_link_bytes: "Bytes sent to other regions by lane.",
+} as const;
+
+/** Histograms with their descriptions; all in milliseconds. */
+export const histograms = {
+  bamboolane_request_duration_millis: "Time from read to last byte.",
+  bamboolane_queue_wait_millis: "Wait for a slot.",
+} as const;
+
+/** Gauges with their descriptions. */
+export const gauges = {
+  bamboolane_revision: "Configuration revision in force.",
+  bamboolane_cut_off: "1 while the revision can't be proven newest.",
+  bamboolane_in_flight: "Requests held by this instance.",
+  bamboolane_live_instances: "Instances believed to be live.",
+  bamboolane_resident_bytes: "Resident memory of the process.",
+} as const;
+
+/** Name of a counter. */
+export type CounterName = keyof typeof counters;
+/** Name of a histogram. */
+export type HistogramName = keyof typeof histograms;
+/** Name of a gauge. */
+export type GaugeName = keyof typeof gauges;
+
+/** Starts the scrape endpoint at `address` and creates the instruments. */
+export async function createMetrics(address: string): Promise<Metrics> {
+  const [host, port] = address.split(":");
+  const exporter = new PrometheusExporter({
+    host,
+    port: Number(port),
+    preventServerStart: true,
+  });
+  await exporter.startServer();
+  const provider = new MeterProvider({ readers: [exporter] });
+  const meter = provider.getMeter("bamboolane");
+  const counterOf = Object.fromEntries(
+    Object.entries(counters).map(([name, description]) => [
+      name,
+      meter.createCounter(name, { description }),
+    ]),
+  );
+  const histogramOf = Object.fromEntries(
+    Object.entries(histograms).map(([name, description]) => [
+      name,
+      meter.createHistogram(name, { description, unit: "ms" }),
+    ]),
+  );
+  return {
+    count: (name, amount, labels) => counterOf[name].add(amount, labels),
+    record: (name, value, labels) => histogramOf[name].record(value, labels),
+    gauge: (name, read) => {
+      const gauge = meter.createObservableGauge(name, {
+        description: gauges[name],
+      });
+      gauge.addCallback((result) => result.observe(read()));
+    },
+    close: () => provider.shutdown(),
+  };
+}
+
+/** Instruments that keep nothing, for tests and tools. */
+export function createSilentMetrics(): Metrics {
+  return {
+    count: () => {},
+    record: () => {},
+    gauge: () => {},
+    close: () => Promise.resolve(),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/ports.ts
@@ -0,0 +1,94 @@
+/**
+ * Narrow ports to the platform. One adapter each; a new platform is a new
+ * file beside `http_platform.ts`.
+ */
+
+/** A row of the table. Version 0 stands for a row that does not exist. */
+export interface Row {
+  key: string;
+  version: number;
+  value: unknown;
+}
+
+/** A conditional write of one row inside a transaction. */
+export interface RowWrite {
+  key: string;
+  /** Version that the row must have; 0 for none. */
+  expectVersion: number;
+  /** The new value; undefined deletes the row. */
+  value: unknown;
+}
+
+/** A condition of a transaction on a row that it does not write. */
+export interface RowCheck {
+  key: string;
+  expectVersion: number;
+}
+
+/** Answer to a transaction: all writes took effect, or none. */
+export type TransactResult =
+  | { kind: "committed"; versions: number[] }
+  | { kind: "conflict"; rows: Row[] };
+
+/** An instance as the platform lists it; may be minutes old. */
+export interface ListedInstance {
+  id: string;
+  dataCentre: string;
+  peerAddress: string;
+  leaving: boolean;
+}
+
+/** A call whose effect is not known: no answer arrived in time. */
+export class StoreUncertainError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = "StoreUncertainError";
+  }
+}
+
+/** The platform's transactional table. */
+export interface TablePort {
+  read(keys: string[]): Promise<Row[]>;
+  /** Rejects with {@link StoreUncertainError} where the effect is unknown. */
+  transact(writes: RowWrite[], checks?: RowCheck[]): Promise<TransactResult>;
+  /** Rows whose key starts with `prefix` and sorts after `after`, in order. */
+  scan(
+    prefix: string,
+    after: string,
+    options: { limit: number },
+  ): Promise<Row[]>;
+}
+
+/** The platform's object store. Objects are written once under their hash. */
+export interface ObjectPort {
+  /** Returns undefined where there is no such object. */
+  read(hash: string): Promise<Uint8Array | undefined>;
+  write(hash: string, content: Uint8Array): Promise<void>;
+}
+
+/** The platform's list of instances. */
+export interface InstanceListPort {
+  list(): Promise<ListedInstance[]>;
+}
+
+/** All ports together. */
+export interface Platform {
+  table: TablePort;
+  objects: ObjectPort;
+  instances: InstanceListPort;
+  close(): Promise<void>;
+}
+
+/** Monotonic and wall time. Unit: milliseconds. */
+export interface Clock {
+  /** Never goes back; only differences have a meaning. */
+  nowMillis(): number;
+  /** Wall time since the epoch; only for values that people read. */
+  wallMillis(): number;
+}
+
+/** The process's clock. */
+export const systemClock: Clock = {
+  nowMillis: () => performance.now(),
+  wallMillis: () => Date.now(),
+};
--- /dev/null
+++ b/packages/report/src/assemble_report.ts
@@ -0,0 +1,164 @@
+/**
+ * Assembles a member's board page from stored statistics: what was served,
+ * how fast, what it cost, and the same work alone on the member's own share
+ * of the targets.
+ */
+import {
+  build,
+  decodeFromCompressedBase64,
+  type Histogram,
+} from "hdr-histogram-js";
+import type {
+  FleetConfig,
+  FleetException,
+  Lane,
+} from "@bamboolane/types/fleet";
+import { estimateAlone } from "./estimate_alone.ts";
+
+/** Statistics of one member's service and lane at one instance. */
+export interface LaneStats {
+  service: string;
+  lane: Lane;
+  served: number;
+  slotMillis: number;
+  /** Answers by result name. */
+  results: Record<string, number>;
+  /** Compressed histogram of durations. Unit: milliseconds. */
+  histogram: string;
+}
+
+/** Stored statistics of one member at one instance. */
+export interface MemberStatsValue {
+  member: string;
+  /** Unit of both: milliseconds since the epoch. */
+  fromMillis: number;
+  toMillis: number;
+  lanes: LaneStats[];
+}
+
+/** One row of the report. */
+export interface ReportRow {
+  service: string;
+  lane: Lane;
+  served: number;
+  p50Millis: number;
+  p99Millis: number;
+  refused: number;
+  unknown: number;
+  slotSeconds: number;
+  cost: number;
+  /** The same work alone on the member's own share of the targets. */
+  aloneP99Millis: number;
+  aloneCost: number;
+  aloneUtilisation: number;
+}
+
+/** A member's report. */
+export interface MemberReport {
+  member: string;
+  fromMillis: number;
+  toMillis: number;
+  rows: ReportRow[];
+  totalCost: number;
+  totalAloneCost: number;
+  exceptions: FleetException[];
+}
+
+interface Merged {
+  service: string;
+  lane: Lane;
+  served: number;
+  slotMillis: number;
+  results: Map<string, number>;
+  histogram: Histogram;
+}
+
+function merge(values: MemberStatsValue[]): Merged[] {
+  const merged = new Map<string, Merged>();
+  for (const stats of values.flatMap((value) => value.lanes)) {
+    const key = `${stats.service}/${stats.lane}`;
+    const known = merged.get(key) ?? {
+      service: stats.service,
+      lane: stats.lane,
+      served: 0,
+      slotMillis: 0,
+      results: new Map<string, number>(),
+      histogram: build({ numberOfSignificantValueDigits: 2 }),
+    };
+    known.served += stats.served;
+    known.slotMillis += stats.slotMillis;
+    for (const [name, count] of Object.entries(stats.results)) {
+      known.results.set(name, (known.results.get(name) ?? 0) + count);
+    }
+    known.histogram.add(decodeFromCompressedBase64(stats.histogram, 64));
+    merged.set(key, known);
+  }
+  return [...merged.values()].sort((a, b) => a.service < b.service ? -1 : 1);
+}
+
+function sumResults(
+  results: Map<string, number>,
+  names: ReadonlySet<string>,
+): number {
+  let sum = 0;
+  for (const [name, count] of results) if (names.has(name)) sum += count;
+  return sum;
+}
+
+/** Names of results by outcome, as the caller of this package knows them. */
+export interface OutcomeNames {
+  notRun: ReadonlySet<string>;
+  unknown: ReadonlySet<string>;
+}
+
+/** Assembles the report of one member. */
+export function assembleReport(
+  member: string,
+  values: MemberStatsValue[],
+  options: { fleet: FleetConfig; names: OutcomeNames },
+): MemberReport {
+  const { fleet, names } = options;
+  const config = fleet.members.find((m) => m.id === member);
+  const ownShare = config?.ownShare ?? 0;
+  const price = config?.costPerSlotSecond ?? 0;
+  const fromMillis = Math.min(...values.map((v) => v.fromMillis));
+  const toMillis = Math.max(...values.map((v) => v.toMillis));
+  const rows = merge(values).map((item): ReportRow => {
+    const service = fleet.services.find((s) => s.id === item.service);
+    const slots = service?.targets.reduce((sum, t) => sum + t.slots, 0) ?? 0;
+    const spanSeconds = Math.max(1, (toMillis - fromMillis) / 1000);
+    const slotSeconds = item.slotMillis / 1000;
+    const alone = estimateAlone({
+      slots: slots * ownShare,
+      spanSeconds,
+      slotSeconds,
+      served: item.served,
+      p99Millis: item.histogram.getValueAtPercentile(99),
+    });
+    return {
+      service: item.service,
+      lane: item.lane,
+      served: item.served,
+      p50Millis: item.histogram.getValueAtPercentile(50),
+      p99Millis: item.histogram.getValueAtPercentile(99),
+      refused: sumResults(item.results, names.notRun),
+      unknown: sumResults(item.results, names.unknown),
+      slotSeconds,
+      cost: slotSeconds * price,
+      aloneP99Millis: alone.p99Millis,
+      aloneCost: slots * ownShare * spanSeconds * price,
+      aloneUtilisation: alone.utilisation,
+    };
+  });
+  return {
+    member,
+    fromMillis,
+    toMillis,
+    rows,
+    totalCost: rows.reduce((sum, row) => sum + row.cost, 0),
+    totalAloneCost: rows.reduce((sum, row) => sum + row.aloneCost, 0),
+    exceptions: fleet.exceptions.filter((e) =>
+      e.match.member === undefined || e.match.member === member
+    ),
+  };
+}
--- /dev/null
+++ b/packages/types/src/fleet.ts
@@ -0,0 +1,224 @@
+/**
+ * The fleet configuration: what operators decide and all instances obey.
+ * A document of this shape is one immutable revision.
+ */
+
+/** Work classes that never share a queue. */
+export const Lane = { interactive: "interactive", bulk: "bulk" } as const;
+
+/** One of the values of {@link Lane}. */
+export type Lane = typeof Lane[keyof typeof Lane];
+
+/** How a target says that it refused a request before running it. */
+export interface NotRunRefusal {
+  status: number;
+  /** Header name, lower case. */
+  header: string;
+  value: string;
+}
+
+/** Values that hold for the whole fleet unless an exception changes them. */
+export interface FleetDefaults {
+  timeoutMillis: number;
+  /** A request that runs longer counts as bulk. */
+  bulkAfterMillis: number;
+  /** Part of each target's slots that bulk may hold, 0 to 1. */
+  bulkShare: number;
+  /** Requests that may wait in one lane of one pool. */
+  queueLimit: number;
+  /** Longest wait for a slot before an interactive request is refused as not run. */
+  queueWaitMillis: number;
+  /** The same for bulk requests. */
+  bulkQueueWaitMillis: number;
+  /** Hedges allowed, as part of the requests. */
+  hedgeBudget: number;
+  /** Retries allowed, as part of the requests. */
+  retryBudget: number;
+  lookupTtlSeconds: number;
+  /** Part of a pool's targets that outlier detection may set aside. */
+  maxEjectedShare: number;
+  notRunRefusal: NotRunRefusal;
+  /** Response header, lower case, with which a target says that it drains. */
+  drainHeader: string;
+}
+
+/** Fields of {@link FleetDefaults} that an exception may change. */
+export type ChangeableDefaults = Pick<
+  FleetDefaults,
+  | "timeoutMillis"
+  | "bulkAfterMillis"
+  | "bulkShare"
+  | "queueWaitMillis"
+  | "bulkQueueWaitMillis"
+  | "hedgeBudget"
+  | "retryBudget"
+>;
+
+/** A data centre with its cap on concurrent requests. */
+export interface DataCentreConfig {
+  id: string;
+  /** Requests that may run on this data centre's targets at once. */
+  capInFlight: number;
+}
+
+/** A region: a set of data centres with short links between them. */
+export interface RegionConfig {
+  id: string;
+  dataCentres: DataCentreConfig[];
+}
+
+/** Capacity of the link between two regions. */
+export interface LinkConfig {
+  between: [string, string];
+  /** Bytes a second each way that this system may use. */
+  bytesPerSecond: number;
+  /** One-way latency. */
+  latencyMillis: number;
+}
+
+/** A member with its weight in shared queues. */
+export interface MemberConfig {
+  id: string;
+  weight: number;
+  /** Part of the fleet's slots that the member pays for, 0 to 1. */
+  ownShare: number;
+  costPerSlotSecond: number;
+}
+
+/** A rule that classifies requests by path prefix and method. */
+export interface RouteRule {
+  pathPrefix: string;
+  methods?: string[];
+  lane: Lane;
+  idempotent: boolean;
+}
+
+/** A back end reached over HTTP. */
+export interface TargetConfig {
+  id: string;
+  dataCentre: string;
+  /** `host:port`. */
+  address: string;
+  slots: number;
+}
+
+/** A service with its routes and targets. */
+export interface ServiceConfig {
+  id: string;
+  members: string[];
+  routes: RouteRule[];
+  targets: TargetConfig[];
+}
+
+/** A named destination of client blocks. */
+export interface SiteConfig {
+  id: string;
+  dataCentre: string;
+}
+
+/** A range of client addresses and the site that serves it first. */
+export interface ClientBlock {
+  cidr: string;
+  site: string;
+}
+
+/** Which requests an exception touches; every given field must match. */
+export interface ExceptionMatch {
+  member?: string;
+  service?: string;
+  dataCentre?: string;
+}
+
+/** A named departure from the defaults. */
+export interface FleetException {
+  id: string;
+  match: ExceptionMatch;
+  change: Partial<ChangeableDefaults>;
+  owner: string;
+  reason: string;
+  /** ISO date after which the exception has no effect. */
+  until?: string;
+}
+
+/** What a drain empties. */
+export const DrainKind = {
+  target: "target",
+  instance: "instance",
+  dataCentre: "dataCentre",
+} as const;
+
+/** One of the values of {@link DrainKind}. */
+export type DrainKind = typeof DrainKind[keyof typeof DrainKind];
+
+/** An operator's order to send no new work somewhere. */
+export interface Drain {
+  kind: DrainKind;
+  id: string;
+  owner: string;
+  reason: string;
+}
+
+/** States of a move. */
+export const MoveState = {
+  planned: "planned",
+  running: "running",
+  paused: "paused",
+  aborted: "aborted",
+  done: "done",
+} as const;
+
+/** One of the values of {@link MoveState}. */
+export type MoveState = typeof MoveState[keyof typeof MoveState];
+
+/** A planned traffic shift between two data centres, in capped steps. */
+export interface Move {
+  id: string;
+  service: string;
+  from: string;
+  to: string;
+  /** Greatest share of `from`'s traffic that may move, 0 to 1. */
+  capShare: number;
+  /** Shares of each step, rising, none above the cap. */
+  steps: number[];
+  /** Index of the step in force; -1 before the first. */
+  step: number;
+  state: MoveState;
+  owner: string;
+  reason: string;
+}
+
+/** One revision of the configuration, as all instances apply it. */
+export interface FleetConfig {
+  defaults: FleetDefaults;
+  regions: RegionConfig[];
+  links: LinkConfig[];
+  members: MemberConfig[];
+  services: ServiceConfig[];
+  sites: SiteConfig[];
+  clientBlocks: ClientBlock[];
+  exceptions: FleetException[];
+  drains: Drain[];
+  moves: Move[];
+}
+
+/** A stored revision: the document with the change that made it. */
+export interface ConfigBody {
+  revision: number;
+  changeId: string;
+  /** Who made the change. */
+  operator: string;
+  /** What the change did, in a few words. */
+  summary: string;
+  /** Content hash of the revision before; empty for the first. */
+  previousHash: string;
+  fleet: FleetConfig;
+  /** Content hashes of the block table's chunks; empty when only inline blocks are used. */
+  blockChunks: string[];
+}
+
+/** The head row that names the revision in force. */
+export interface ConfigHead {
+  revision: number;
+  hash: string;
+  changeId: string;
+}
--- /dev/null
+++ b/packages/types/src/instance.ts
@@ -0,0 +1,55 @@
+/**
+ * Identity and state of entry instances as the rest of the system sees them.
+ */
+
+/** Life-cycle states of an instance, ordered from weakest to strongest claim. */
+export const InstanceState = {
+  joining: 0,
+  serving: 1,
+  leaving: 2,
+  dead: 3,
+} as const;
+
+/** One of the values of {@link InstanceState}. */
+export type InstanceState = typeof InstanceState[keyof typeof InstanceState];
+
+/** Load of one service's slot pool at the instance that owns it. */
+export interface PoolLoad {
+  service: string;
+  /** Slots that are free now, over all healthy targets. */
+  freeSlots: number;
+  /** Requests that wait for a slot. */
+  queued: number;
+  /** Typical duration of an interactive request. Unit: milliseconds. */
+  typicalMillis: number;
+  /** Requests that hold a slot. */
+  inFlight: number;
+}
+
+/** What an instance publishes about itself; spread by heartbeats. */
+export interface InstanceRecord {
+  id: string;
+  dataCentre: string;
+  region: string;
+  /** `host:port` for callers. */
+  callerAddress: string;
+  /** `host:port` for the gRPC protocol between entries. */
+  peerAddress: string;
+  /** Start of this process, in milliseconds since the epoch; higher replaces lower. */
+  incarnation: number;
+  /** Counts changes of the record within one incarnation. */
+  version: number;
+  state: InstanceState;
+  /** Configuration revision in force at the instance. */
+  revision: number;
+  /** True while the instance has no proof that its revision is the newest. */
+  cutOff: boolean;
+  pools: PoolLoad[];
+}
+
+/** A fingerprint of a request that was in flight on targets that crashed. */
+export interface CrashSuspect {
+  fingerprint: string;
+  /** Targets that crashed while they ran it. */
+  targets: string[];
+}
--- /dev/null
+++ b/packages/types/src/request.ts
@@ -0,0 +1,41 @@
+/**
+ * A caller's request as the decision code sees it, free of sockets.
+ */
+import type { Lane } from "./fleet.ts";
+
+/** How a request is protected against running twice. */
+export type IdempotencyKey =
+  | { kind: "none" }
+  | { kind: "ticket"; value: string }
+  | { kind: "claim"; value: string };
+
+/** The parts of a request that decisions depend on. */
+export interface RequestInfo {
+  id: string;
+  member: string;
+  service: string;
+  method: string;
+  /** Path and query below the service. */
+  path: string;
+  /** Client address in dotted form, for the block table. */
+  client: string;
+  lane: Lane;
+  idempotent: boolean;
+  key: IdempotencyKey;
+  /** Time left when the request was read. Unit: milliseconds. */
+  timeoutMillis: number;
+  /** Groups requests that are expected to take equally long. */
+  routeKey: string;
+  /** Identifies resends of the same work, for crash suspicion. */
+  fingerprint: string;
+}
+
+/** What is known of whether a request ran. */
+export const Outcome = {
+  ran: "ran",
+  notRun: "not-run",
+  unknown: "unknown",
+} as const;
+
+/** One of the values of {@link Outcome}. */
+export type Outcome = typeof Outcome[keyof typeof Outcome];
--- /dev/null
+++ b/standins/src/serve_target.ts
@@ -0,0 +1,260 @@
+/**
+ * A target's stand-in: slots, service times by path, cold start, shedding,
+ * drain, crash, slowness, and a load report that lags or lies. It records
+ * what it ran, so that tests can compare with what callers were told.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+
+/** How a target behaves; changed while it runs. */
+export interface TargetBehaviour {
+  slots: number;
+  /** Service time by path prefix, first match wins. Unit: milliseconds. */
+  serviceMillis: { prefix: string; millis: number; bytes?: number }[];
+  /** Multiplies all service times. */
+  slowFactor: number;
+  /** Added to the first requests after the start. Unit: milliseconds. */
+  coldMillis: number;
+  coldRequests: number;
+  draining: boolean;
+  /** The load report shows this instead of the truth; negative shows the truth. */
+  reportedLoad: number;
+  /** Requests whose path contains this crash the target. */
+  crashOn: string;
+  /** Answers are cut after half their bytes. */
+  cutAnswers: boolean;
+  /** Requests are accepted and never answered. */
+  frozen: boolean;
+}
+
+/** One request that the target ran to its end or began to run. */
+export interface RanRequest {
+  path: string;
+  mark: string;
+  startedAtMillis: number;
+  finished: boolean;
+}
+
+/** Options of {@link serveTarget}. */
+export interface TargetOptions {
+  address: string;
+  behaviour: Partial<TargetBehaviour>;
+  /** Spreads service times; 0 gives them exactly. */
+  spread?: number;
+  random?: () => number;
+  /** Called when the target crashes. */
+  onCrash?: () => void;
+}
+
+/** A running target. */
+export interface TargetStandin {
+  address: string;
+  behaviour: TargetBehaviour;
+  ran: RanRequest[];
+  cancelled: number;
+  shed: number;
+  /** Greatest number of requests that ran at once. */
+  peak: number;
+  close(): Promise<void>;
+}
+
+const defaultBehaviour: TargetBehaviour = {
+  slots: 3,
+  serviceMillis: [{ prefix: "/", millis: 5 }],
+  slowFactor: 1,
+  coldMillis: 0,
+  coldRequests: 0,
+  draining: false,
+  reportedLoad: -1,
+  crashOn: "",
+  cutAnswers: false,
+  frozen: false,
+};
+
+/** Requests that wait inside the target before it sheds, for each slot. */
+const backlogPerSlot = 1;
+const maxRecorded = 200_000;
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  let text = "";
+  for await (const chunk of request) text += chunk.toString("latin1");
+  return text;
+}
+
+/** Log-normal factor with median 1. */
+function spreadFactor(spread: number, random: () => number): number {
+  if (spread === 0) return 1;
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) *
+    Math.cos(2 * Math.PI * random());
+  return Math.exp(spread * normal);
+}
+
+/** Starts a target. */
+export function serveTarget(options: TargetOptions): Promise<TargetStandin> {
+  const behaviour: TargetBehaviour = {
+    ...defaultBehaviour,
+    ...options.behaviour,
+  };
+  const random = options.random ?? Math.random;
+  const waiting: (() => void)[] = [];
+  let inUse = 0;
+  let served = 0;
+  const standin: TargetStandin = {
+    address: options.address,
+    behaviour,
+    ran: [],
+    cancelled: 0,
+    shed: 0,
+    peak: 0,
+    close,
+  };
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+
+  function close(): Promise<void> {
+    return new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+    });
+  }
+
+  function refuse(response: ServerResponse): void {
+    standin.shed++;
+    const headers: Record<string, string> = { "x-not-run": "1" };
+    if (behaviour.draining) headers["x-draining"] = "1";
+    response.writeHead(503, headers).end();
+  }
+
+  function durationOf(path: string): { millis: number; bytes: number } {
+    const rule = behaviour.serviceMillis.find((r) => path.startsWith(r.prefix));
+    const cold = served < behaviour.coldRequests ? behaviour.coldMillis : 0;
+    const factor = behaviour.slowFactor *
+      spreadFactor(options.spread ?? 0, random);
+    return {
+      millis: (rule?.millis ?? 5) * factor + cold,
+      bytes: rule?.bytes ?? 0,
+    };
+  }
+
+  async function takeSlot(): Promise<void> {
+    if (inUse < behaviour.slots) {
+      inUse++;
+    } else {
+      await new Promise<void>((resolve) => waiting.push(resolve));
+    }
+    standin.peak = Math.max(standin.peak, inUse);
+  }
+
+  function giveSlot(): void {
+    const next = waiting.shift();
+    if (next) next();
+    else inUse--;
+  }
+
+  async function work(
+    response: ServerResponse,
+    millis: number,
+  ): Promise<boolean> {
+    const end = Date.now() + millis;
+    while (Date.now() < end || behaviour.frozen) {
+      if (response.destroyed) return false;
+      await new Promise((resolve) =>
+        setTimeout(resolve, Math.min(20, Math.max(1, end - Date.now())))
+      );
+    }
+    return !response.destroyed;
+  }
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const path = request.url ?? "/";
+    if (behaviour.frozen && path === "/health") return;
+    if (path === "/health") {
+      response.end(
+        JSON.stringify({ state: behaviour.draining ? "draining" : "serving" }),
+      );
+      return;
+    }
+    if (path === "/load") {
+      const load = behaviour.reportedLoad < 0 ? inUse : behaviour.reportedLoad;
+      response.end(JSON.stringify({ inUse: load, slots: behaviour.slots }));
+      return;
+    }
+    const body = await readBody(request);
+    if (
+      behaviour.draining || waiting.length >= behaviour.slots * backlogPerSlot
+    ) {
+      return refuse(response);
+    }
+    await runOne(path, body, response);
+  }
+
+  async function runOne(
+    path: string,
+    body: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    await takeSlot();
+    const entry: RanRequest = {
+      path,
+      mark: body.slice(0, 200),
+      startedAtMillis: Date.now(),
+      finished: false,
+    };
+    if (standin.ran.length < maxRecorded) standin.ran.push(entry);
+    try {
+      if (behaviour.crashOn !== "" && path.includes(behaviour.crashOn)) {
+        server.close();
+        server.closeAllConnections();
+        options.onCrash?.();
+        return;
+      }
+      const { millis, bytes } = durationOf(path);
+      served++;
+      if (!await work(response, millis)) {
+        standin.cancelled++;
+        return;
+      }
+      entry.finished = true;
+      answer(path, { body, bytes, response });
+    } finally {
+      giveSlot();
+    }
+  }
+
+  function answer(
+    path: string,
+    parts: { body: string; bytes: number; response: ServerResponse },
+  ): void {
+    const { response } = parts;
+    const text =
+      JSON.stringify({ path, echo: parts.body, target: options.address }) +
+      "x".repeat(parts.bytes);
+    const headers: Record<string, string> = {
+      "content-length": String(text.length),
+    };
+    if (behaviour.draining) headers["x-draining"] = "1";
+    response.writeHead(200, headers);
+    if (!behaviour.cutAnswers) return void response.end(text);
+    response.write(text.slice(0, Math.floor(text.length / 2)));
+    setTimeout(() => response.destroy(), 5);
+  }
+
+  const [host, port] = options.address.split(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(port), host, () => {
+      standin.address = `${host}:${
+        (server.address() as { port: number }).port
+      }`;
+      resolve(standin);
+    });
+  });
+}
--- /dev/null
+++ b/tools/src/demo/run_demo.ts
@@ -0,0 +1,156 @@
+/**
+ * The demo: stand-ins, ten entries in six data centres of three regions,
+ * both users' workloads; a publication, a drain and a stop midway.
+ */
+import process from "node:process";
+import { Caller, type CallResult } from "../harness/caller.ts";
+import { formatRows } from "../harness/format_rows.ts";
+import { cyclestand, ndiaye } from "../harness/make_fleet.ts";
+import { type Cluster, prepareCluster } from "../harness/start_cluster.ts";
+import { tabulateCalls, totalCalls } from "../harness/summarize_calls.ts";
+import { verifyCalls } from "../harness/verify_calls.ts";
+import {
+  cyclestandCalls,
+  driveCalls,
+  ndiayeCalls,
+  seededRandom,
+} from "../harness/workload.ts";
+
+const durationMillis = 20_000;
+const seed = 7;
+const basePort = 21_000;
+const entriesPerDataCentre = [2, 2, 2, 2, 1, 1];
+
+function say(text: string): void {
+  process.stdout.write(`demo: ${text}\n`);
+}
+
+async function publishMidway(cluster: Cluster): Promise<void> {
+  const changed = {
+    ...cluster.fleet.document,
+    exceptions: [{
+      id: "ndiaye-archive",
+      match: { member: "ndiaye", service: "pickups" },
+      change: { bulkQueueWaitMillis: 8000 },
+      owner: "fleet operations",
+      reason: "Accounting closes the year and pulls more archives",
+    }],
+  };
+  const published = await cluster.publish(changed, "year-end exception");
+  say(
+    `published revision ${published.revision}, in force in ${published.elapsedMillis} ms`,
+  );
+}
+
+async function drainMidway(cluster: Cluster): Promise<void> {
+  const drain = {
+    kind: "target",
+    id: "pickups-dk1-1",
+    owner: "fleet operations",
+    reason: "planned disk replacement",
+  };
+  await cluster.operator(cluster.entries[0], {
+    method: "POST",
+    path: "/v1/edit",
+    body: { edit: { kind: "drain-add", drain } },
+  });
+  const ranAt =
+    (await cluster.targets()).find((t) => t.id === drain.id)?.ran.length ?? 0;
+  say(`drained target ${drain.id}, which had run ${ranAt} requests`);
+}
+
+async function stopMidway(cluster: Cluster): Promise<number | null> {
+  const name = cluster.entries[1].id;
+  const startedAt = performance.now();
+  const code = await cluster.children.stop(name);
+  say(
+    `stopped ${name} in ${
+      Math.round(performance.now() - startedAt)
+    } ms, exit code ${code}`,
+  );
+  return code;
+}
+
+function at(millis: number, action: () => Promise<unknown>): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    setTimeout(() => action().then(resolve, reject), millis);
+  });
+}
+
+async function drive(cluster: Cluster): Promise<CallResult[]> {
+  const caller = new Caller({
+    seeds: cluster.entries.map((e) => e.callers),
+    maxSends: 6,
+  });
+  const pending = new Set<Promise<void>>();
+  const results: CallResult[] = [];
+  const ticker = setInterval(() => {
+    const { sent, complete } = totalCalls(results);
+    say(`${sent} answered, ${complete} complete, ${pending.size} under way`);
+  }, 4000);
+  await driveCalls({
+    kinds: [...ndiayeCalls, ...cyclestandCalls],
+    durationMillis,
+    random: seededRandom(seed),
+    blocks: 6,
+    start: (call) => {
+      const done = caller.run(call).then((result) => {
+        results.push(result);
+        pending.delete(done);
+      });
+      pending.add(done);
+    },
+  });
+  await Promise.all(pending);
+  clearInterval(ticker);
+  await caller.close();
+  return results;
+}
+
+async function runDemo(): Promise<number> {
+  const cluster = await prepareCluster({
+    layout: {
+      profiles: [ndiaye, cyclestand],
+      targetsPerDataCentre: 2,
+      capInFlight: 60,
+      lookupTtlSeconds: 2,
+    },
+    entriesPerDataCentre,
+    basePort,
+  });
+  say(
+    `starting ${cluster.entries.length} entries and ${cluster.fleet.targets.length} targets`,
+  );
+  await cluster.start();
+  say("serving");
+  const [results, ...midway] = await Promise.all([
+    drive(cluster),
+    at(5000, () => publishMidway(cluster)),
+    at(9000, () => drainMidway(cluster)),
+    at(12_000, () => stopMidway(cluster)),
+  ]);
+  const targets = await cluster.targets();
+  const codes = await cluster.stop();
+  const breaches = verifyCalls(results, targets);
+  process.stdout.write(formatRows(tabulateCalls(results)) + "\n");
+  for (const breach of breaches) {
+    say(`breach of ${breach.promise}: ${breach.detail}`);
+  }
+  const badExits = Object.entries({
+    ...codes,
+    midway: midway[2] as number | null,
+  })
+    .filter(([, code]) => code !== 0);
+  for (const [name, code] of badExits) say(`${name} exited with ${code}`);
+  const { sent, complete, notRun, unknown } = totalCalls(results);
+  const failed = breaches.length > 0 || badExits.length > 0 || complete === 0;
+  if (failed) say(`logs are in ${cluster.folder}`);
+  else await cluster.removeFolder();
+  process.stdout.write(
+    `demo: ${sent} sent, ${complete} complete, ${notRun} not run, ${unknown} unknown, ` +
+      `${breaches.length} wrong\n`,
+  );
+  return failed ? 1 : 0;
+}
+
+process.exit(await runDemo());
--- /dev/null
+++ b/tools/src/harness/make_fleet.ts
@@ -0,0 +1,227 @@
+/**
+ * Makes fleets of the two users' sizes: six data centres in three regions,
+ * services of twelve targets with three slots.
+ */
+import type { TargetBehaviour } from "@bamboolane/standins/serve_target";
+import type { TargetSpec } from "@bamboolane/standins/main_targets";
+import { Lane } from "@bamboolane/types/fleet";
+
+/** A user's workload. */
+export interface UserProfile {
+  member: string;
+  regions: { id: string; dataCentres: string[] }[];
+  linkBytesPerSecond: number;
+  linkMillis: number;
+  services: ServiceProfile[];
+}
+
+/** One service of a workload. */
+export interface ServiceProfile {
+  id: string;
+  slots: number;
+  routes: {
+    pathPrefix: string;
+    lane: Lane;
+    idempotent: boolean;
+    methods?: string[];
+  }[];
+  serviceMillis: TargetBehaviour["serviceMillis"];
+}
+
+const gigabit = 125_000_000;
+
+/** Blanchisserie Ndiaye et Fils. */
+export const ndiaye: UserProfile = {
+  member: "ndiaye",
+  regions: [
+    { id: "dakar", dataCentres: ["dk1", "dk2"] },
+    { id: "thies", dataCentres: ["th1", "th2"] },
+    { id: "saint-louis", dataCentres: ["sl1", "sl2"] },
+  ],
+  linkBytesPerSecond: 4 * gigabit,
+  linkMillis: 55,
+  services: [
+    {
+      id: "pickups",
+      slots: 3,
+      routes: [
+        { pathPrefix: "/pickups", lane: Lane.interactive, idempotent: true },
+        { pathPrefix: "/archive", lane: Lane.bulk, idempotent: true },
+      ],
+      serviceMillis: [
+        { prefix: "/archive", millis: 400, bytes: 20_000 },
+        { prefix: "/undeclared", millis: 400, bytes: 20_000 },
+        { prefix: "/", millis: 8 },
+      ],
+    },
+    {
+      id: "billing",
+      slots: 3,
+      routes: [
+        {
+          pathPrefix: "/charge",
+          methods: ["POST"],
+          lane: Lane.interactive,
+          idempotent: false,
+        },
+      ],
+      serviceMillis: [{ prefix: "/", millis: 12 }],
+    },
+    {
+      id: "wash-tracking",
+      slots: 4,
+      routes: [{
+        pathPrefix: "/wash",
+        lane: Lane.interactive,
+        idempotent: true,
+      }],
+      serviceMillis: [{ prefix: "/", millis: 10 }],
+    },
+    {
+      id: "invoices",
+      slots: 3,
+      routes: [{ pathPrefix: "/", lane: Lane.bulk, idempotent: true }],
+      serviceMillis: [{ prefix: "/", millis: 150, bytes: 50_000 }],
+    },
+  ],
+};
+
+/** Kerala CycleStand Franchise Office. */
+export const cyclestand: UserProfile = {
+  member: "cyclestand",
+  regions: [
+    { id: "ernakulam", dataCentres: ["ek1", "ek2"] },
+    { id: "malabar", dataCentres: ["ml1", "ml2"] },
+    { id: "travancore", dataCentres: ["tv1", "tv2"] },
+  ],
+  linkBytesPerSecond: 0.28 * gigabit,
+  linkMillis: 35,
+  services: [
+    {
+      id: "stock",
+      slots: 3,
+      routes: [{
+        pathPrefix: "/stock",
+        lane: Lane.interactive,
+        idempotent: true,
+      }],
+      serviceMillis: [{ prefix: "/", millis: 15 }],
+    },
+    {
+      id: "orders",
+      slots: 3,
+      routes: [
+        {
+          pathPrefix: "/order",
+          methods: ["POST"],
+          lane: Lane.interactive,
+          idempotent: false,
+        },
+      ],
+      serviceMillis: [{ prefix: "/", millis: 20 }],
+    },
+    {
+      id: "surveys",
+      slots: 3,
+      routes: [{
+        pathPrefix: "/survey",
+        lane: Lane.interactive,
+        idempotent: true,
+      }],
+      serviceMillis: [{ prefix: "/", millis: 12 }],
+    },
+    {
+      id: "brochures",
+      slots: 3,
+      routes: [{ pathPrefix: "/", lane: Lane.bulk, idempotent: true }],
+      serviceMillis: [{ prefix: "/", millis: 80, bytes: 50_000 }],
+    },
+  ],
+};
+
+/** Layout of a fleet on one machine. */
+export interface FleetLayout {
+  /** Regions and links are taken from the first profile. */
+  profiles: UserProfile[];
+  /** First port of the targets. */
+  firstTargetPort: number;
+  targetsPerDataCentre: number;
+  capInFlight: number;
+  lookupTtlSeconds: number;
+  defaults?: Record<string, number>;
+  restartMillis?: number;
+}
+
+/** A fleet document and the targets that it names. */
+export interface MadeFleet {
+  document: Record<string, unknown>;
+  targets: TargetSpec[];
+}
+
+const serviceSpread = 0.3;
+const host = "127.0.0.1";
+
+/** Makes the document as plain data; write it as JSON, which is YAML too. */
+export function makeFleet(layout: FleetLayout): MadeFleet {
+  const [base] = layout.profiles;
+  const dataCentres = base.regions.flatMap((region) => region.dataCentres);
+  const targets: TargetSpec[] = [];
+  let port = layout.firstTargetPort;
+  const services = layout.profiles.flatMap((profile) =>
+    profile.services.map((service) => ({
+      id: service.id,
+      members: [profile.member],
+      routes: service.routes,
+      targets: dataCentres.flatMap((dataCentre) =>
+        Array.from({ length: layout.targetsPerDataCentre }, (_, index) => {
+          const id = `${service.id}-${dataCentre}-${index + 1}`;
+          const address = `${host}:${port++}`;
+          targets.push({
+            id,
+            address,
+            behaviour: {
+              slots: service.slots,
+              serviceMillis: service.serviceMillis,
+            },
+            spread: serviceSpread,
+            restartMillis: layout.restartMillis,
+          });
+          return { id, dataCentre, address, slots: service.slots };
+        })
+      ),
+    }))
+  );
+  const document = {
+    defaults: { lookupTtlSeconds: layout.lookupTtlSeconds, ...layout.defaults },
+    regions: base.regions.map((region) => ({
+      id: region.id,
+      dataCentres: region.dataCentres.map((id) => ({
+        id,
+        capInFlight: layout.capInFlight,
+      })),
+    })),
+    links: linksOf(base),
+    members: layout.profiles.map((p) => ({
+      id: p.member,
+      weight: 1,
+      ownShare: 0.5,
+    })),
+    services,
+    clientBlocks: dataCentres.map((site, index) => ({
+      cidr: `10.${index + 1}.0.0/16`,
+      site,
+    })),
+  };
+  return { document, targets };
+}
+
+function linksOf(profile: UserProfile) {
+  const ids = profile.regions.map((region) => region.id);
+  return ids.flatMap((a, i) =>
+    ids.slice(i + 1).map((b) => ({
+      between: [a, b],
+      bytesPerSecond: profile.linkBytesPerSecond,
+      latencyMillis: profile.linkMillis,
+    }))
+  );
+}
--- /dev/null
+++ b/tools/src/harness/start_cluster.ts
@@ -0,0 +1,294 @@
+/**
+ * Starts a whole system as processes on loopback: the platform's stand-in,
+ * the targets, and entries in every data centre.
+ */
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { fileURLToPath } from "node:url";
+import path from "node:path";
+import { request } from "undici";
+import type { TargetBehaviour } from "@bamboolane/standins/serve_target";
+import type { TargetRecord } from "@bamboolane/standins/main_targets";
+import type { PlatformFaults } from "@bamboolane/standins/serve_platform";
+import { ChildProcesses } from "./child_processes.ts";
+import { type FleetLayout, type MadeFleet, makeFleet } from "./make_fleet.ts";
+
+/** One entry of a cluster. */
+export interface ClusterEntry {
+  id: string;
+  dataCentre: string;
+  region: string;
+  callers: string;
+  peers: string;
+  operators: string;
+  metrics: string;
+}
+
+/** Options of {@link startCluster}. */
+export interface ClusterOptions {
+  layout: Omit<FleetLayout, "firstTargetPort">;
+  /** Entries in each data centre, in the order of the data centres. */
+  entriesPerDataCentre: number[];
+  basePort: number;
+  settings?: Record<string, unknown>;
+}
+
+export const operatorToken = "demo-operator-token-1";
+const peerSecret = "demo-peer-secret-0001";
+const host = "127.0.0.1";
+const root = path.resolve(
+  path.dirname(fileURLToPath(import.meta.url)),
+  "../../..",
+);
+const cliPath = path.join(root, "packages/cli/dist/main.js");
+const startTimeoutMillis = 20_000;
+
+/** A running cluster. */
+export class Cluster {
+  readonly entries: ClusterEntry[];
+  readonly fleet: MadeFleet;
+  readonly folder: string;
+  readonly children = new ChildProcesses();
+  readonly #options: ClusterOptions;
+
+  constructor(
+    options: ClusterOptions,
+    parts: { folder: string; fleet: MadeFleet },
+  ) {
+    this.#options = options;
+    this.folder = parts.folder;
+    this.fleet = parts.fleet;
+    this.entries = planEntries(options);
+  }
+
+  get platformUrl(): string {
+    return `http://${host}:${this.#options.basePort}`;
+  }
+
+  get #controlAddress(): string {
+    return `${host}:${this.#options.basePort + 1}`;
+  }
+
+  /** Starts everything and publishes the first revision. */
+  async start(): Promise<void> {
+    await writeFile(
+      this.#file("fleet.json"),
+      JSON.stringify(this.fleet.document, null, 1),
+    );
+    await writeFile(
+      this.#file("targets.json"),
+      JSON.stringify(this.fleet.targets),
+    );
+    this.#startScript("platform", "main_platform.js", [
+      `${host}:${this.#options.basePort}`,
+    ]);
+    this.#startScript("targets", "main_targets.js", [
+      this.#controlAddress,
+      this.#file("targets.json"),
+    ]);
+    await this.#until(() => this.setFaults({}).then(() => true));
+    await this.#until(() => this.targets().then(() => true));
+    await this.listInstances();
+    await Promise.all(this.entries.map((entry) => this.startEntry(entry)));
+    await this.#until(() =>
+      this.publish(this.fleet.document, "first revision").then(() => true)
+    );
+    await Promise.all(this.entries.map((entry) => this.untilServing(entry)));
+  }
+
+  /** Tells the platform which instances there are. */
+  async listInstances(): Promise<void> {
+    const list = this.entries.map((e) => ({
+      id: e.id,
+      dataCentre: e.dataCentre,
+      peerAddress: e.peers,
+      leaving: false,
+    }));
+    await this.#put(`${this.platformUrl}/control/instances`, list);
+  }
+
+  async startEntry(entry: ClusterEntry): Promise<void> {
+    const file = this.#file(`${entry.id}.json`);
+    const settings = {
+      instance: {
+        id: entry.id,
+        dataCentre: entry.dataCentre,
+        region: entry.region,
+      },
+      listen: {
+        callers: entry.callers,
+        peers: entry.peers,
+        operators: entry.operators,
+        metrics: entry.metrics,
+      },
+      platform: { url: this.platformUrl, timeoutMillis: 1000 },
+      credentials: {
+        operators: [{ name: "demo", token: operatorToken }],
+        peerSecret,
+      },
+      stopOnBreach: true,
+      ...this.#options.settings,
+    };
+    await writeFile(file, JSON.stringify(settings));
+    this.children.start(entry.id, [cliPath, "entry", "--settings", file], {
+      logFile: this.#file(`${entry.id}.log`),
+    });
+  }
+
+  /** Waits until an entry answers look-ups. */
+  async untilServing(entry: ClusterEntry): Promise<void> {
+    const [profile] = this.#options.layout.profiles;
+    const query = `member=${profile.member}&service=${
+      profile.services[0].id
+    }&client=10.1.0.1`;
+    await this.#until(async () => {
+      const reply = await request(`http://${entry.callers}/v1/lookup?${query}`);
+      const answer = await reply.body.json() as { entries?: unknown[] };
+      return reply.statusCode === 200 && (answer.entries?.length ?? 0) > 0;
+    });
+  }
+
+  /** Calls an entry's operator interface. */
+  async operator<T>(
+    entry: ClusterEntry,
+    call: { method: "GET" | "POST"; path: string; body?: unknown },
+  ): Promise<T> {
+    const reply = await request(`http://${entry.operators}${call.path}`, {
+      method: call.method,
+      headers: { authorization: `Bearer ${operatorToken}` },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+    });
+    const value = await reply.body.json() as T & { error?: string };
+    if (reply.statusCode !== 200) throw new Error(value.error);
+    return value;
+  }
+
+  /** Publishes a document at the first entry that runs. */
+  publish(
+    document: unknown,
+    summary: string,
+  ): Promise<{ revision: number; elapsedMillis: number }> {
+    const entry = this.entries.find((e) => this.children.get(e.id)) ??
+      this.entries[0];
+    const body = { text: JSON.stringify(document), summary };
+    return this.operator(entry, { method: "POST", path: "/v1/publish", body });
+  }
+
+  async setFaults(faults: Partial<PlatformFaults>): Promise<void> {
+    await this.#put(`${this.platformUrl}/control/faults`, faults);
+  }
+
+  async setBehaviour(
+    target: string,
+    behaviour: Partial<TargetBehaviour>,
+  ): Promise<void> {
+    await this.#put(
+      `http://${this.#controlAddress}/behaviour/${target}`,
+      behaviour,
+    );
+  }
+
+  /** What the targets ran. */
+  async targets(): Promise<TargetRecord[]> {
+    const reply = await request(`http://${this.#controlAddress}/ran`);
+    return await reply.body.json() as TargetRecord[];
+  }
+
+  /** Ends everything; returns the exit codes of the entries. */
+  async stop(): Promise<Record<string, number | null>> {
+    const codes: Record<string, number | null> = {};
+    await Promise.all(this.entries.map(async (entry) => {
+      if (this.children.get(entry.id)) {
+        codes[entry.id] = await this.children.stop(entry.id);
+      }
+    }));
+    await this.children.stopAll();
+    return codes;
+  }
+
+  async removeFolder(): Promise<void> {
+    await rm(this.folder, { recursive: true, force: true });
+  }
+
+  #startScript(name: string, script: string, args: string[]): void {
+    this.children.start(name, [
+      path.join(root, "standins/dist", script),
+      ...args,
+    ], {
+      logFile: this.#file(`${name}.log`),
+    });
+  }
+
+  #file(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  async #put(url: string, value: unknown): Promise<void> {
+    const reply = await request(url, {
+      method: "PUT",
+      body: JSON.stringify(value),
+    });
+    await reply.body.dump();
+    if (reply.statusCode !== 200) {
+      throw new Error(`${url} answered ${reply.statusCode}`);
+    }
+  }
+
+  async #until(attempt: () => Promise<boolean>): Promise<void> {
+    const end = Date.now() + startTimeoutMillis;
+    let last: unknown;
+    while (Date.now() < end) {
+      try {
+        if (await attempt()) return;
+      } catch (error) {
+        last = error;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    throw new Error(
+      `the system did not start: ${last}; logs are in ${this.folder}`,
+    );
+  }
+}
+
+const firstEntryOffset = 10;
+const portsPerEntry = 4;
+const firstTargetOffset = 200;
+
+function planEntries(options: ClusterOptions): ClusterEntry[] {
+  const entries: ClusterEntry[] = [];
+  let port = options.basePort + firstEntryOffset;
+  const [profile] = options.layout.profiles;
+  let index = 0;
+  for (const region of profile.regions) {
+    for (const dataCentre of region.dataCentres) {
+      const count = options.entriesPerDataCentre[index++] ?? 1;
+      for (let n = 1; n <= count; n++) {
+        entries.push({
+          id: `e-${dataCentre}-${n}`,
+          dataCentre,
+          region: region.id,
+          callers: `${host}:${port}`,
+          peers: `${host}:${port + 1}`,
+          operators: `${host}:${port + 2}`,
+          metrics: `${host}:${port + 3}`,
+        });
+        port += portsPerEntry;
+      }
+    }
+  }
+  return entries;
+}
+
+/** Prepares a cluster; call `start` on it. */
+export async function prepareCluster(
+  options: ClusterOptions,
+): Promise<Cluster> {
+  const folder = await mkdtemp(path.join(tmpdir(), "bamboolane-"));
+  await mkdir(folder, { recursive: true });
+  const fleet = makeFleet({
+    ...options.layout,
+    firstTargetPort: options.basePort + firstTargetOffset,
+  });
+  return new Cluster(options, { folder, fleet });
+}
