Hold small answers until they are whole

Cause: an idempotent request whose target cut its answer was refused as answer-cut although another target could have answered it; the cut was seen only after the answer had been handed on. Change: answers that declare up to 64 KiB are read whole inside the attempt, so a cut is retried like a lost target. A key's mismatch counts as a look-up of the key, so it says not-run truthfully.

--- a/packages/entry/features/failure_steps.ts
+++ b/packages/entry/features/failure_steps.ts
@@ -353,6 +353,7 @@
   frozen.push(id);
   const { running } = scenario.system.entry(id);
   running.membership.stop();
+  running.membership.mesh.accept = (stream) => stream.end();
   running.config.stop();
 });
 
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -39,12 +39,16 @@
   trace: WorkTrace;
 }
 
-/** An answer whose body ends normally only if it is complete. */
+/** An answer's body: complete in memory, or a stream that throws where it was cut short. */
+export type AnswerBody =
+  | { kind: "whole"; bytes: Uint8Array }
+  | { kind: "stream"; chunks: AsyncIterable<Uint8Array> };
+
+/** An answer to a request. */
 export interface Answer {
   status: number;
   headers: HeaderPair[];
-  /** Throws where the answer was cut short. */
-  body: AsyncIterable<Uint8Array>;
+  body: AnswerBody;
   target: string;
   dataCentre: string;
   /** Releases what the answer holds; call it when the body is not read. */
@@ -87,21 +91,51 @@
   return body.kind === "whole" || !body.consumed;
 }
 
-/** Reads a body whole up to `limit` bytes; a longer one stays a stream. */
+/** Reads a request's body whole up to `limit` bytes; a longer one stays a stream. */
 export async function readBody(
   source: AsyncIterable<Uint8Array>,
   options: { wholeBytes: number },
 ): Promise<RequestBody> {
-  const iterator = source[Symbol.asyncIterator]();
+  const body = await holdBody(
+    { kind: "stream", chunks: source },
+    options.wholeBytes,
+  );
+  return body.kind === "whole" ? body : { ...body, consumed: false };
+}
+
+/** Reads a stream whole up to `limitBytes`; a longer one goes on as a stream. */
+export async function holdBody(
+  body: AnswerBody,
+  limitBytes: number,
+): Promise<AnswerBody> {
+  if (body.kind === "whole") return body;
+  const iterator = body.chunks[Symbol.asyncIterator]();
   const head: Uint8Array[] = [];
   let size = 0;
-  while (size <= options.wholeBytes) {
+  while (size <= limitBytes) {
     const next = await iterator.next();
     if (next.done) return { kind: "whole", bytes: concatBytes(head, size) };
     head.push(next.value);
     size += next.value.byteLength;
   }
-  return { kind: "stream", chunks: resume(head, iterator), consumed: false };
+  return { kind: "stream", chunks: resume(head, iterator) };
+}
+
+/** Length that an answer declares; undefined where it declares none. */
+export function declaredLength(
+  headers: readonly HeaderPair[],
+): number | undefined {
+  const found = headers.find(([name]) => name === "content-length");
+  return found === undefined ? undefined : Number(found[1]);
+}
+
+/** Answers up to this size are read whole before they are passed on. Unit: bytes. */
+export const heldAnswerBytes = 65_536;
+
+/** True where an answer is small enough to be read whole first. */
+export function isHeld(headers: readonly HeaderPair[]): boolean {
+  const length = declaredLength(headers);
+  return length !== undefined && length <= heldAnswerBytes;
 }
 
 async function* resume(
@@ -127,8 +161,3 @@
   }
   return joined;
 }
-
-/** A body of known bytes as an answer's body. */
-export async function* bodyOf(bytes: Uint8Array): AsyncGenerator<Uint8Array> {
-  if (bytes.byteLength > 0) yield await Promise.resolve(bytes);
-}
--- a/packages/entry/src/answer_writer.ts
+++ b/packages/entry/src/answer_writer.ts
@@ -22,14 +22,6 @@
   entry: string;
 }
 
-/** Bodies up to this size are read before the head is sent. Unit: bytes. */
-const holdBytes = 65_536;
-
-function declaredLength(answer: Answer): number | undefined {
-  const found = answer.headers.find(([name]) => name === "content-length");
-  return found === undefined ? undefined : Number(found[1]);
-}
-
 function headOf(
   answer: Answer,
   marks: AnswerMarks,
@@ -62,34 +54,33 @@
   }
 }
 
-async function collect(answer: Answer): Promise<Uint8Array[]> {
-  const chunks: Uint8Array[] = [];
-  for await (const chunk of answer.body) chunks.push(chunk);
-  return chunks;
-}
-
-/** Writes an answer; rejects where its body was cut before the head was sent. */
+/** Writes an answer; rejects where its body was cut. */
 export async function writeAnswer(
   response: ServerResponse,
   answer: Answer,
   marks: AnswerMarks,
 ): Promise<void> {
-  const length = declaredLength(answer);
-  if (length !== undefined && length <= holdBytes) {
-    const chunks = await collect(answer);
-    writeHead(response, answer, marks);
-    for (const chunk of chunks) response.write(chunk);
-    response.end();
-    return;
-  }
   writeHead(response, answer, marks);
-  response.flushHeaders();
+  switch (answer.body.kind) {
+    case "whole":
+      response.end(answer.body.bytes);
+      return;
+    case "stream":
+      response.flushHeaders();
+      return await writeStream(response, answer, answer.body.chunks);
+  }
+}
+
+async function writeStream(
+  response: ServerResponse,
+  answer: Answer,
+  chunks: AsyncIterable<Uint8Array>,
+): Promise<void> {
   try {
-    for await (const chunk of answer.body) {
+    for await (const chunk of chunks) {
       if (response.destroyed) return answer.cancel();
-      if (!response.write(chunk)) {
-        await Promise.race([once(response, "drain"), once(response, "close")]);
-      }
+      if (response.write(chunk)) continue;
+      await Promise.race([once(response, "drain"), once(response, "close")]);
     }
     response.end();
   } catch (error) {
--- a/packages/entry/src/forward_client.ts
+++ b/packages/entry/src/forward_client.ts
@@ -18,7 +18,15 @@
   ResponseHead,
 } from "@bamboolane/wire/generated/bamboolane/v1/peer";
 import type { InstanceRecord } from "@bamboolane/types/instance";
-import { type Answer, noteDispatch, type Work } from "./answer.ts";
+import {
+  type Answer,
+  type AnswerBody,
+  heldAnswerBytes,
+  holdBody,
+  isHeld,
+  noteDispatch,
+  type Work,
+} from "./answer.ts";
 import type { EntryContext } from "./context.ts";
 import {
   type ForwardRole,
@@ -102,12 +110,14 @@
     this.#sendBody(stream, work, peer.region).catch(() => stream.cancel());
     try {
       const response = await reader.head();
+      const headers = fromWireHeaders(response.headers);
+      const body: AnswerBody = { kind: "stream", chunks: reader.body() };
       return {
         status: response.status,
-        headers: fromWireHeaders(response.headers),
+        headers,
         target: response.target,
         dataCentre: peer.dataCentre,
-        body: reader.body(),
+        body: isHeld(headers) ? await holdBody(body, heldAnswerBytes) : body,
         cancel,
       };
     } catch (error) {
--- a/packages/entry/src/forward_server.ts
+++ b/packages/entry/src/forward_server.ts
@@ -106,7 +106,10 @@
   const headers = answer.headers.map(([name, value]) => ({ name, value }));
   const head = { status: answer.status, headers, target: answer.target };
   await write(stream, { part: { $case: "head", head } });
-  for await (const chunk of answer.body) {
+  const chunks = answer.body.kind === "whole"
+    ? [answer.body.bytes]
+    : answer.body.chunks;
+  for await (const chunk of chunks) {
     if (options.signal.aborted) return answer.cancel();
     await options.pacer.pass(chunk.byteLength, options.work.info.lane, options);
     await write(stream, { part: { $case: "body", body: Buffer.from(chunk) } });
--- a/packages/entry/src/keyed_requests.ts
+++ b/packages/entry/src/keyed_requests.ts
@@ -28,13 +28,7 @@
 import type { TicketBook } from "@bamboolane/idempotency/ticket_book";
 import type { MemberTable } from "@bamboolane/membership/member_table";
 import { type InstanceRecord, InstanceState } from "@bamboolane/types/instance";
-import {
-  type Answer,
-  bodyOf,
-  concatBytes,
-  type Runner,
-  type Work,
-} from "./answer.ts";
+import { type Answer, holdBody, type Runner, type Work } from "./answer.ts";
 import type { EntryContext } from "./context.ts";
 import { ForwardRole } from "./forward_codec.ts";
 import type { ForwardClient } from "./forward_client.ts";
@@ -136,6 +130,7 @@
   ): Promise<Answer> {
     switch (started.kind) {
       case "mismatch":
+        work.trace.keySeen = true;
         return Promise.reject(new SteeringError(ResultCode.keyMismatch));
       case "full":
         return Promise.reject(
@@ -287,6 +282,7 @@
 
   async #answerTaken(work: Work, value: ClaimValue): Promise<Answer> {
     if (value.fingerprint !== work.info.fingerprint) {
+      work.trace.keySeen = true;
       throw new SteeringError(ResultCode.keyMismatch);
     }
     if (value.answer !== undefined) return toAnswer(value.answer);
@@ -329,33 +325,27 @@
     }
   }
 
-  /** Reads a small answer whole; a larger one is passed on and not kept. */
+  /** Keeps a small answer whole; a larger one is passed on and not kept. */
   async #keep(
     answer: Answer,
     settle: (kept: KeptAnswer) => void,
   ): Promise<Answer> {
     const limit = this.#options.context.settings.limits.keptAnswerBytes;
-    const iterator = answer.body[Symbol.asyncIterator]();
-    const chunks: Uint8Array[] = [];
-    let size = 0;
     const { status, headers } = answer;
-    for (;;) {
-      const next = await iterator.next();
-      if (next.done) break;
-      chunks.push(next.value);
-      size += next.value.byteLength;
-      if (size > limit) {
-        settle({ kind: "answered", status, headers, body: undefined });
-        return { ...answer, body: resumeBody(chunks, iterator) };
-      }
-    }
-    const body = size === 0 ? new Uint8Array() : concatBytes(chunks, size);
-    settle({ kind: "answered", status, headers, body });
-    return { ...answer, body: bodyOf(body) };
+    const body = await holdBody(answer.body, limit);
+    const kept = body.kind === "whole" && body.bytes.byteLength <= limit;
+    settle({
+      kind: "answered",
+      status,
+      headers,
+      body: kept ? body.bytes : undefined,
+    });
+    return { ...answer, body };
   }
 
   async #answerKnown(work: Work, execution: Execution): Promise<Answer> {
     if (execution.fingerprint !== work.info.fingerprint) {
+      work.trace.keySeen = true;
       throw new SteeringError(ResultCode.keyMismatch);
     }
     const kept = execution.settled ?? await this.#waitFor(work, execution);
@@ -401,7 +391,7 @@
   return {
     status: kept.status,
     headers: kept.headers,
-    body: bodyOf(kept.body),
+    body: { kind: "whole", bytes: kept.body },
     target: "",
     dataCentre: "",
     cancel: () => {},
@@ -421,15 +411,3 @@
     }
   }
 }
-
-async function* resumeBody(
-  chunks: Uint8Array[],
-  iterator: AsyncIterator<Uint8Array>,
-): AsyncGenerator<Uint8Array> {
-  yield* chunks;
-  for (;;) {
-    const next = await iterator.next();
-    if (next.done) return;
-    yield next.value;
-  }
-}
--- a/packages/entry/src/pool_task.ts
+++ b/packages/entry/src/pool_task.ts
@@ -25,6 +25,8 @@
 import { Outcome } from "@bamboolane/types/request";
 import {
   type Answer,
+  concatBytes,
+  isHeld,
   isReplayable,
   noteDispatch,
   type Work,
@@ -395,7 +397,7 @@
     });
   }
 
-  #toAnswer(
+  async #toAnswer(
     work: Work,
     parts: {
       grant: Grant;
@@ -403,34 +405,33 @@
       abort: AbortController;
       end: () => void;
     },
-  ): Answer {
+  ): Promise<Answer> {
     const { grant, response, abort, end } = parts;
     if (response.draining) this.#setSignalDrained(grant.target, true);
+    const failed = response.status >= 500;
     let ended = false;
     const finish = (how: "success" | "failure" | "cancelled") => {
       if (ended) return;
       ended = true;
       end();
-      this.#finish(work, grant, how);
+      this.#finish(work, grant, how === "success" && failed ? "failure" : how);
     };
-    const failed = response.status >= 500;
     const cancel = () => {
       if (ended) return;
       finish("cancelled");
       abort.abort();
       response.destroy();
     };
-    return {
-      status: response.status,
-      headers: response.headers,
-      target: grant.target,
-      dataCentre: this.#config.dataCentre,
-      cancel,
-      body: readWhole(
-        response.body,
-        (how) => finish(how === "success" && failed ? "failure" : how),
-      ),
-    };
+    const { status, headers } = response;
+    const answer = { status, headers, target: grant.target, cancel };
+    const { dataCentre } = this.#config;
+    if (isHeld(headers)) {
+      const bytes = await readHeld(response);
+      finish("success");
+      return { ...answer, dataCentre, body: { kind: "whole", bytes } };
+    }
+    const chunks = readStream(response.body, finish);
+    return { ...answer, dataCentre, body: { kind: "stream", chunks } };
   }
 
   async #onFailure(
@@ -450,6 +451,7 @@
         this.#pool.setDown(grant.target, true);
         return this.#finish(work, grant, "failure");
       case ResultCode.targetLost:
+      case ResultCode.answerCut:
         await this.#checkCrash(work, grant);
         return this.#finish(work, grant, "failure");
       default:
@@ -612,8 +614,23 @@
   }
 }
 
+/** Reads a small answer to its end. */
+async function readHeld(response: TargetResponse): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of response.body) {
+      chunks.push(chunk);
+      size += chunk.byteLength;
+    }
+  } catch (error) {
+    throw new SteeringError(ResultCode.answerCut, (error as Error).message);
+  }
+  return concatBytes(chunks, size);
+}
+
 /** Passes chunks on; a cut or an early end by the reader is told apart. */
-async function* readWhole(
+async function* readStream(
   body: AsyncIterable<Uint8Array>,
   finish: (how: "success" | "failure" | "cancelled") => void,
 ): AsyncGenerator<Uint8Array> {
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -427,6 +427,7 @@
     kill() {
       duties.halt();
       close();
+      platform.close();
     },
   };
 }
