--- a/tools/src/bench/bench_report.ts
+++ b/tools/src/bench/bench_report.ts
@@ -65,9 +65,9 @@
   return Math.round(value * 1000) / 1000;
 }
 
-/** The quantile of unsorted values; 0 for none. */
+/** The quantile of unsorted values; not a number for none, so that no bound holds. */
 export function quantile(values: readonly number[], share: number): number {
-  if (values.length === 0) return 0;
+  if (values.length === 0) return NaN;
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))];
 }
--- /dev/null
+++ b/tools/src/bench/process_usage.ts
@@ -0,0 +1,52 @@
+/**
+ * Reads what a process has used, from the kernel.
+ */
+import { readFile } from "node:fs/promises";
+
+const ticksPerSecond = 100;
+const userTimeField = 13;
+const systemTimeField = 14;
+
+/** Usage since the process started. */
+export interface ProcessUsage {
+  cpuSeconds: number;
+  residentMegabytes: number;
+  atMillis: number;
+}
+
+/** Reads the usage of a process. */
+export async function readUsage(pid: number): Promise<ProcessUsage> {
+  const stat = await readFile(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const offset = 2;
+  const ticks = Number(fields[userTimeField - offset]) +
+    Number(fields[systemTimeField - offset]);
+  const status = await readFile(`/proc/${pid}/status`, "utf8");
+  const resident = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {
+    cpuSeconds: ticks / ticksPerSecond,
+    residentMegabytes: resident / 1024,
+    atMillis: performance.now(),
+  };
+}
+
+/** A straight line fitted by least squares. */
+export interface FittedLine {
+  slope: number;
+  intercept: number;
+  /** Coefficient of determination. */
+  rSquared: number;
+}
+
+/** Fits a line through points. */
+export function fitLine(points: { x: number; y: number }[]): FittedLine {
+  const n = points.length;
+  const meanX = points.reduce((sum, p) => sum + p.x, 0) / n;
+  const meanY = points.reduce((sum, p) => sum + p.y, 0) / n;
+  const sxx = points.reduce((sum, p) => sum + (p.x - meanX) ** 2, 0);
+  const sxy = points.reduce((sum, p) => sum + (p.x - meanX) * (p.y - meanY), 0);
+  const syy = points.reduce((sum, p) => sum + (p.y - meanY) ** 2, 0);
+  const slope = sxx === 0 ? 0 : sxy / sxx;
+  const rSquared = sxx === 0 || syy === 0 ? 1 : sxy ** 2 / (sxx * syy);
+  return { slope, intercept: meanY - slope * meanX, rSquared };
+}
--- a/tools/src/bench/run_bench.ts
+++ b/tools/src/bench/run_bench.ts
@@ -5,10 +5,14 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { type Bench, formatBench } from "./bench_report.ts";
+import { controlBench } from "./control_bench.ts";
 import { entryBench } from "./entry_bench.ts";
+import { lookupBench } from "./lookup_bench.ts";
 
 const benches: Record<string, Bench> = {
+  control: controlBench,
   entry: entryBench,
+  lookup: lookupBench,
 };
 
 const args = await yargs(hideBin(process.argv))
