--- a/packages/config/src/parse_settings.ts
+++ b/packages/config/src/parse_settings.ts
@@ -56,6 +56,10 @@
     url: z.url("expected a URL, such as http://127.0.0.1:7900"),
     timeoutMillis: millis(1000, 30_000),
   }),
+  advertise: z.strictObject({
+    callers: address.optional(),
+    peers: address.optional(),
+  }).default({}),
   seeds: z.array(address).default([]),
   credentials: z.strictObject({
     operators: z.array(z.strictObject({ name: id, token: secret })).min(1),
--- a/packages/entry/features/support/test_system.ts
+++ b/packages/entry/features/support/test_system.ts
@@ -199,6 +199,7 @@
       listen: { callers, peers, operators, metrics },
       platform: { url: this.platform.url, timeoutMillis: 500 },
       seeds: [],
+      advertise: {},
       credentials: {
         operators: [{ name: "ops", token }],
         peerSecret: "test-peer-secret",
--- a/packages/entry/src/membership_task.ts
+++ b/packages/entry/src/membership_task.ts
@@ -27,7 +27,8 @@
 
 const maxRecords = 4096;
 const keepDeadMillis = 600_000;
-const seedEveryMillis = 10_000;
+/** At this rate 540 instances read the list 360 times a second. */
+const seedEveryMillis = 1500;
 const maxContacts = 20;
 const unreachableRefreshMillis = 250;
 const objectTimeoutMillis = 2000;
@@ -39,6 +40,7 @@
   readonly #options: MembershipTaskOptions;
   #seedTimer: NodeJS.Timeout | undefined;
   #unreachable = new Set<string>();
+  #listedLeaving: ReadonlySet<string> = new Set();
   #unreachableAtMillis = -Infinity;
 
   constructor(options: MembershipTaskOptions) {
@@ -48,8 +50,8 @@
     this.table = new MemberTable({
       self: {
         ...settings.instance,
-        callerAddress: settings.listen.callers,
-        peerAddress: settings.listen.peers,
+        callerAddress: settings.advertise.callers ?? settings.listen.callers,
+        peerAddress: settings.advertise.peers ?? settings.listen.peers,
         incarnation: options.incarnation,
         version: 1,
         state: InstanceState.joining,
@@ -163,6 +165,22 @@
     }
   }
 
+  /** Instances and targets that the platform's list calls leaving. */
+  listedLeaving(): ReadonlySet<string> {
+    return this.#listedLeaving;
+  }
+
+  #noteLeaving(listed: ListedInstance[]): void {
+    const leaving = new Set(
+      listed.filter((item) => item.leaving).map((item) => item.id),
+    );
+    const same = leaving.size === this.#listedLeaving.size &&
+      [...leaving].every((id) => this.#listedLeaving.has(id));
+    if (same) return;
+    this.#listedLeaving = leaving;
+    this.#options.onChange();
+  }
+
   /** A few at random, those of this data centre first. */
   #chooseContacts(listed: ListedInstance[]): ListedInstance[] {
     const { dataCentre } = this.#options.context.settings.instance;
--- a/packages/entry/src/pool_manager.ts
+++ b/packages/entry/src/pool_manager.ts
@@ -185,7 +185,10 @@
       capInFlight: state.poolCap(service),
       queueLimit: values.queueLimit,
       maxEjectedShare: values.maxEjectedShare,
-      drained: state.drained(DrainKind.target),
+      drained: new Set([
+        ...state.drained(DrainKind.target),
+        ...this.#options.membership.listedLeaving(),
+      ]),
     };
   }
 
--- a/packages/entry/src/pool_task.ts
+++ b/packages/entry/src/pool_task.ts
@@ -77,8 +77,10 @@
   onCrash: () => void;
   /** Called with the time that a request held a slot. */
   onSlotTime: (work: Work, slotMillis: number) => void;
+  /** The three below choose baselines that benches compare with. */
   strategy?: TargetStrategy;
   hedging?: boolean;
+  singleQueue?: boolean;
 }
 
 /** Attempts on different targets of one pool. */
@@ -112,6 +114,7 @@
       random: options.context.random,
       weightOf: options.weightOf,
       strategy: options.strategy,
+      singleQueue: options.singleQueue,
     });
     this.configure(options.config);
   }
@@ -171,7 +174,8 @@
   async probe(timeoutMillis: number): Promise<void> {
     await Promise.all([...this.#clients].map(async ([id, client]) => {
       const health = await client.probe(timeoutMillis);
-      this.#pool.setDown(id, health === undefined);
+      // A target that gives no health answer may still run requests; only a closed port proves it down.
+      this.#pool.setDown(id, health === undefined && await client.isGone());
       if (health !== undefined) this.#setSignalDrained(id, health.draining);
     }));
     this.#advance();
--- a/packages/entry/src/publish_and_wait.ts
+++ b/packages/entry/src/publish_and_wait.ts
@@ -48,7 +48,9 @@
   }
   const listed = await options.instances.list().catch(() => []);
   for (const item of listed) {
-    if (!item.leaving) expected.set(item.id, item.dataCentre);
+    if (!item.leaving && item.kind !== "target") {
+      expected.set(item.id, item.dataCentre);
+    }
   }
   return expected;
 }
--- a/packages/platform/src/ports.ts
+++ b/packages/platform/src/ports.ts
@@ -33,7 +33,10 @@
 /** An instance as the platform lists it; may be minutes old. */
 export interface ListedInstance {
   id: string;
+  /** Targets are listed too; absent means an entry. */
+  kind?: "entry" | "target";
   dataCentre: string;
+  /** Empty for a target. */
   peerAddress: string;
   leaving: boolean;
 }
--- a/packages/types/src/settings.ts
+++ b/packages/types/src/settings.ts
@@ -43,6 +43,8 @@
     operators: string;
     metrics: string;
   };
+  /** Addresses that others use, where they differ from those listened on. */
+  advertise: { callers?: string; peers?: string };
   platform: { url: string; timeoutMillis: number };
   /** `host:port` of peers to contact when the platform's list can't be read. */
   seeds: string[];
--- a/standins/src/main_targets.ts
+++ b/standins/src/main_targets.ts
@@ -76,12 +76,13 @@
   }
   let text = "";
   for await (const chunk of request) text += chunk;
-  const target = targets.get(url.slice("/behaviour/".length));
+  const target = targets.get(url.split("/")[2]);
   if (target === undefined) {
     response.writeHead(404).end();
     return;
   }
-  Object.assign(target.behaviour, JSON.parse(text));
+  if (url.startsWith("/crash/")) target.crash();
+  else Object.assign(target.behaviour, JSON.parse(text));
   response.end("{}");
 });
 const [host, port] = control.split(":");
--- a/standins/src/serve_target.ts
+++ b/standins/src/serve_target.ts
@@ -28,6 +28,8 @@
   cutAnswers: boolean;
   /** Requests are accepted and never answered. */
   frozen: boolean;
+  /** Health and load are not answered; requests are. */
+  silentHealth: boolean;
 }
 
 /** One request that the target ran to its end or began to run. */
@@ -58,6 +60,8 @@
   shed: number;
   /** Greatest number of requests that ran at once. */
   peak: number;
+  /** Ends as a crash would: all connections break. */
+  crash(): void;
   close(): Promise<void>;
 }
 
@@ -72,6 +76,7 @@
   crashOn: "",
   cutAnswers: false,
   frozen: false,
+  silentHealth: false,
 };
 
 /** Requests that wait inside the target before it sheds, for each slot. */
@@ -109,6 +114,7 @@
     cancelled: 0,
     shed: 0,
     peak: 0,
+    crash,
     close,
   };
 
@@ -123,6 +129,12 @@
     });
   }
 
+  function crash(): void {
+    server.close();
+    server.closeAllConnections();
+    options.onCrash?.();
+  }
+
   function refuse(response: ServerResponse): void {
     standin.shed++;
     const headers: Record<string, string> = { "x-not-run": "1" };
@@ -175,7 +187,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const path = request.url ?? "/";
-    if (behaviour.frozen && path === "/health") return;
+    if ((behaviour.frozen || behaviour.silentHealth) && path === "/health") {
+      return;
+    }
     if (path === "/health") {
       response.end(
         JSON.stringify({ state: behaviour.draining ? "draining" : "serving" }),
@@ -211,9 +225,7 @@
     if (standin.ran.length < maxRecorded) standin.ran.push(entry);
     try {
       if (behaviour.crashOn !== "" && path.includes(behaviour.crashOn)) {
-        server.close();
-        server.closeAllConnections();
-        options.onCrash?.();
+        crash();
         return;
       }
       const { millis, bytes } = durationOf(path);
--- /dev/null
+++ b/tools/src/bench/pool_harness.ts
@@ -0,0 +1,341 @@
+/**
+ * Slot pools over real sockets: targets in a child process, the product's
+ * pool task in this one, and seeded arrivals that every arm repeats.
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { request } from "undici";
+import type { EntryContext } from "@bamboolane/entry/context";
+import { Invariants } from "@bamboolane/entry/invariants";
+import type { Work } from "@bamboolane/entry/answer";
+import { PoolTask, type PoolTaskOptions } from "@bamboolane/entry/pool_task";
+import { createSilentLogger } from "@bamboolane/logger/create_logger";
+import {
+  createSilentMetrics,
+  type Metrics,
+} from "@bamboolane/metrics/create_metrics";
+import { systemClock } from "@bamboolane/platform/ports";
+import { CrashWatch } from "@bamboolane/route/crash_watch";
+import { LaneLearner } from "@bamboolane/route/lane_learner";
+import type { TargetSpec } from "@bamboolane/standins/main_targets";
+import type { TargetBehaviour } from "@bamboolane/standins/serve_target";
+import { sampleFleet } from "@bamboolane/test-utils/sample_fleet";
+import { seededRandom } from "@bamboolane/test-utils/seeded_random";
+import type { FleetDefaults, Lane } from "@bamboolane/types/fleet";
+import type { EntrySettings } from "@bamboolane/types/settings";
+import { ChildProcesses } from "../harness/child_processes.ts";
+
+const host = "127.0.0.1";
+const root = path.resolve(import.meta.dirname, "../../..");
+
+/** Targets of a bench in a child process. */
+export class BenchTargets {
+  readonly specs: TargetSpec[];
+  readonly #children = new ChildProcesses();
+  readonly #control: string;
+  #folder = "";
+
+  constructor(specs: TargetSpec[], options: { controlPort: number }) {
+    this.specs = specs;
+    this.#control = `${host}:${options.controlPort}`;
+  }
+
+  async start(): Promise<void> {
+    this.#folder = await mkdtemp(path.join(tmpdir(), "bamboolane-bench-"));
+    const file = path.join(this.#folder, "targets.json");
+    await writeFile(file, JSON.stringify(this.specs));
+    const script = path.join(root, "standins/dist/main_targets.js");
+    this.#children.start("targets", [script, this.#control, file], {
+      logFile: path.join(this.#folder, "targets.log"),
+    });
+    for (let attempt = 0; attempt < 200; attempt++) {
+      const up = await request(`http://${this.#control}/ran`).then(
+        () => true,
+        () => false,
+      );
+      if (up) return;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error("the targets did not start");
+  }
+
+  async set(ids: string[], behaviour: Partial<TargetBehaviour>): Promise<void> {
+    await Promise.all(ids.map(async (id) => {
+      const url = `http://${this.#control}/behaviour/${id}`;
+      const reply = await request(url, {
+        method: "PUT",
+        body: JSON.stringify(behaviour),
+      });
+      await reply.body.dump();
+    }));
+  }
+
+  /** Requests begun by each target since the start, by id. */
+  async ran(): Promise<
+    Map<string, { count: number; peak: number; lastAtMillis: number }>
+  > {
+    const reply = await request(`http://${this.#control}/ran`);
+    const records = await reply.body.json() as {
+      id: string;
+      peak: number;
+      ran: { startedAtMillis: number }[];
+    }[];
+    return new Map(records.map((r) => [r.id, {
+      count: r.ran.length,
+      peak: r.peak,
+      lastAtMillis: r.ran.at(-1)?.startedAtMillis ?? 0,
+    }]));
+  }
+
+  async stop(): Promise<void> {
+    await this.#children.stopAll();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/** Makes `count` targets with the same behaviour. */
+export function makeTargets(
+  prefix: string,
+  count: number,
+  options: {
+    firstPort: number;
+    behaviour: Partial<TargetBehaviour>;
+    spread: number;
+  },
+): TargetSpec[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `${prefix}-${i + 1}`,
+    address: `${host}:${options.firstPort + i}`,
+    behaviour: options.behaviour,
+    spread: options.spread,
+  }));
+}
+
+/** Counts what a pool did beside its answers. */
+export interface PoolCounts {
+  hedges: number;
+  retries: number;
+  breaches: number;
+}
+
+/** Options of {@link createPool}. */
+export interface BenchPoolOptions {
+  targets: TargetSpec[];
+  seed: number;
+  capInFlight?: number;
+  defaults?: Partial<FleetDefaults>;
+  slots?: number;
+  pool?: Pick<PoolTaskOptions, "strategy" | "hedging" | "singleQueue">;
+}
+
+/** A pool with what it counted and learned. */
+export interface BenchPool {
+  task: PoolTask;
+  counts: PoolCounts;
+  learner: LaneLearner;
+  /** Reconfigures with these targets drained by the operator. */
+  drain(ids: string[]): void;
+}
+
+const dataCentre = "a1";
+
+/** Creates the product's pool task over real targets. */
+export function createPool(options: BenchPoolOptions): BenchPool {
+  const counts: PoolCounts = { hedges: 0, retries: 0, breaches: 0 };
+  const metrics: Metrics = {
+    ...createSilentMetrics(),
+    count: (name) => {
+      if (name === "bamboolane_hedges") counts.hedges++;
+      if (name === "bamboolane_retries") counts.retries++;
+      if (name === "bamboolane_invariant_breaches") counts.breaches++;
+    },
+  };
+  const log = createSilentLogger();
+  const context: EntryContext = {
+    settings: {} as EntrySettings,
+    log,
+    metrics,
+    clock: systemClock,
+    random: seededRandom(options.seed),
+    invariants: new Invariants({ log, metrics, onBreach: () => {} }),
+  };
+  const slots = options.slots ?? options.targets[0]?.behaviour.slots ?? 3;
+  const fleet = sampleFleet({
+    defaults: options.defaults,
+    targets: options.targets.map(({ id, address }) => ({
+      id,
+      address,
+      dataCentre,
+      slots,
+    })),
+  });
+  const learner = new LaneLearner({ maxRoutes: 100 });
+  const configOf = (drained: string[]) => ({
+    service: fleet.services[0],
+    dataCentre,
+    capInFlight: options.capInFlight ?? 10_000,
+    queueLimit: fleet.defaults.queueLimit,
+    maxEjectedShare: fleet.defaults.maxEjectedShare,
+    drained: new Set(drained),
+  });
+  const task = new PoolTask({
+    context,
+    config: configOf([]),
+    defaultsFor: () => fleet.defaults,
+    weightOf: () => 1,
+    crashes: new CrashWatch({ maxFingerprints: 100, memoryMillis: 1000 }),
+    learner,
+    onCrash: () => {},
+    onSlotTime: () => {},
+    ...options.pool,
+  });
+  return {
+    task,
+    counts,
+    learner,
+    drain: (ids) => task.configure(configOf(ids)),
+  };
+}
+
+let nextRequest = 0;
+
+/** Makes work for a pool. */
+export function makeWork(
+  route: string,
+  options: {
+    lane: Lane;
+    member?: string;
+    timeoutMillis?: number;
+    idempotent?: boolean;
+  },
+): Work {
+  const id = `b${++nextRequest}`;
+  const timeoutMillis = options.timeoutMillis ?? 20_000;
+  return {
+    info: {
+      id,
+      member: options.member ?? "m1",
+      service: "s1",
+      method: "GET",
+      path: `/${route}/${id}`,
+      client: "",
+      lane: options.lane,
+      idempotent: options.idempotent ?? true,
+      key: { kind: "none" },
+      timeoutMillis,
+      routeKey: route,
+      fingerprint: id,
+    },
+    headers: [],
+    body: { kind: "whole", bytes: new Uint8Array() },
+    deadlineMillis: performance.now() + timeoutMillis,
+    signal: new AbortController().signal,
+    move: "",
+    trace: { dispatches: 0, provenNotRun: 0, keySeen: false },
+  };
+}
+
+/** One arrival of a schedule. */
+export interface Arrival {
+  atMillis: number;
+  kind: string;
+  /** Uniform in [0, 1), for choices of the arm. */
+  dice: number;
+}
+
+/** Poisson arrivals of several kinds, repeatable by seed. */
+export function makeArrivals(
+  kinds: {
+    kind: string;
+    perSecond: number;
+    fromMillis?: number;
+    toMillis: number;
+  }[],
+  seed: number,
+): Arrival[] {
+  const random = seededRandom(seed);
+  const arrivals = kinds.flatMap(
+    ({ kind, perSecond, fromMillis = 0, toMillis }) => {
+      const list: Arrival[] = [];
+      let atMillis = fromMillis;
+      for (;;) {
+        atMillis += -Math.log(1 - random()) * 1000 / perSecond;
+        if (atMillis >= toMillis) return list;
+        list.push({ atMillis, kind, dice: random() });
+      }
+    },
+  );
+  return arrivals.sort((a, b) => a.atMillis - b.atMillis);
+}
+
+/** How one arrival ended. */
+export interface Ended {
+  arrival: Arrival;
+  ok: boolean;
+  /** Name of the refusal; empty for an answer. */
+  refusal: string;
+  durationMillis: number;
+  /** When it ended, after the start of the schedule. */
+  endedAtMillis: number;
+  target: string;
+}
+
+/** Sends arrivals at their times and waits for all to end. */
+export async function playArrivals(
+  arrivals: Arrival[],
+  run: (arrival: Arrival) => Promise<{ target: string }>,
+): Promise<Ended[]> {
+  const startedAt = performance.now();
+  const ended: Ended[] = [];
+  const pending: Promise<void>[] = [];
+  for (const arrival of arrivals) {
+    const wait = startedAt + arrival.atMillis - performance.now();
+    if (wait > 1) await new Promise((resolve) => setTimeout(resolve, wait));
+    const sentAt = performance.now();
+    const finish = (fields: Pick<Ended, "ok" | "refusal" | "target">) => {
+      const now = performance.now();
+      ended.push({
+        arrival,
+        ...fields,
+        durationMillis: now - sentAt,
+        endedAtMillis: now - startedAt,
+      });
+    };
+    pending.push(
+      run(arrival).then(
+        ({ target }) => finish({ ok: true, refusal: "", target }),
+        (error) =>
+          finish({
+            ok: false,
+            refusal: error.info?.name ?? String(error),
+            target: "",
+          }),
+      ),
+    );
+  }
+  await Promise.all(pending);
+  return ended;
+}
+
+/** Runs work in a pool and reads its answer to the end. */
+export async function runInPool(
+  pool: BenchPool,
+  work: Work,
+): Promise<{ target: string }> {
+  const answer = await pool.task.run(work);
+  if (answer.body.kind === "stream") {
+    for await (const _ of answer.body.chunks);
+  }
+  return { target: answer.target };
+}
+
+/** Durations of the answered arrivals that match. */
+export function durations(
+  ended: Ended[],
+  matches: (arrival: Arrival) => boolean = () => true,
+): number[] {
+  return ended.filter((e) => e.ok && matches(e.arrival)).map((e) =>
+    e.durationMillis
+  );
+}
--- a/tools/src/bench/run_bench.ts
+++ b/tools/src/bench/run_bench.ts
@@ -7,12 +7,16 @@
 import { type Bench, formatBench } from "./bench_report.ts";
 import { controlBench } from "./control_bench.ts";
 import { entryBench } from "./entry_bench.ts";
+import { holBench } from "./hol_bench.ts";
 import { lookupBench } from "./lookup_bench.ts";
+import { tailBench } from "./tail_bench.ts";
 
 const benches: Record<string, Bench> = {
   control: controlBench,
   entry: entryBench,
+  hol: holBench,
   lookup: lookupBench,
+  tail: tailBench,
 };
 
 const args = await yargs(hideBin(process.argv))
--- a/tools/src/harness/child_processes.ts
+++ b/tools/src/harness/child_processes.ts
@@ -21,6 +21,7 @@
   readonly #children = new Map<string, Child>();
 
   constructor() {
+    process.setMaxListeners(100);
     process.on("exit", () => this.#killAll());
     for (const signal of ["SIGINT", "SIGTERM"] as const) {
       process.on(signal, () => {
--- a/tools/src/harness/start_cluster.ts
+++ b/tools/src/harness/start_cluster.ts
@@ -10,6 +10,7 @@
 import type { TargetBehaviour } from "@bamboolane/standins/serve_target";
 import type { TargetRecord } from "@bamboolane/standins/main_targets";
 import type { PlatformFaults } from "@bamboolane/standins/serve_platform";
+import type { ListedInstance } from "@bamboolane/platform/ports";
 import { ChildProcesses } from "./child_processes.ts";
 import { type FleetLayout, type MadeFleet, makeFleet } from "./make_fleet.ts";
 
@@ -33,6 +34,8 @@
   settings?: Record<string, unknown>;
   /** Arguments of node itself for entries, such as `--cpu-prof`. */
   nodeArgs?: string[];
+  /** Puts a proxy before each entry's peer address, so that links can be cut. */
+  proxies?: boolean;
 }
 
 export const operatorToken = "demo-operator-token-1";
@@ -99,11 +102,11 @@
   }
 
   /** Tells the platform which instances there are. */
-  async listInstances(): Promise<void> {
-    const list = this.entries.map((e) => ({
+  async listInstances(other?: ListedInstance[]): Promise<void> {
+    const list = other ?? this.entries.map((e) => ({
       id: e.id,
       dataCentre: e.dataCentre,
-      peerAddress: e.peers,
+      peerAddress: this.#options.proxies ? proxyAddress(e) : e.peers,
       leaving: false,
     }));
     await this.#put(`${this.platformUrl}/control/instances`, list);
@@ -123,6 +126,7 @@
         operators: entry.operators,
         metrics: entry.metrics,
       },
+      advertise: this.#options.proxies ? { peers: proxyAddress(entry) } : {},
       platform: { url: this.platformUrl, timeoutMillis: 1000 },
       credentials: {
         operators: [{ name: "demo", token: operatorToken }],
@@ -197,6 +201,10 @@
     );
   }
 
+  async crashTarget(target: string): Promise<void> {
+    await this.#put(`http://${this.#controlAddress}/crash/${target}`, {});
+  }
+
   /** What the targets ran. */
   async targets(): Promise<TargetRecord[]> {
     const reply = await request(`http://${this.#controlAddress}/ran`);
@@ -260,6 +268,14 @@
   }
 }
 
+const proxyOffset = 100;
+
+/** Address of the proxy before an entry's peer address. */
+export function proxyAddress(entry: ClusterEntry): string {
+  const [address, port] = entry.peers.split(":");
+  return `${address}:${Number(port) + proxyOffset}`;
+}
+
 const firstEntryOffset = 10;
 const portsPerEntry = 4;
 const firstTargetOffset = 200;
