Benches for members, drain, slots, links, overload and moves; two faults mended

Cause: a flooding member filled the shared queue, so a quiet one was refused; the platform's list was read but targets that it calls leaving still got work. Change: in a full queue the member with most waiting gives way; the list is the third drain signal, read every 1.5 s; listed targets are never contacted.

--- a/packages/admit/features/slot_pool.feature
+++ b/packages/admit/features/slot_pool.feature
@@ -15,6 +15,11 @@
     When a quiet member sends one request
     Then it is admitted among the next 3
 
+  Scenario: A flooding member does not fill the queue against a quiet one
+    Given a pool whose queue of 20 is full of one member's requests
+    When a quiet member sends one request
+    Then the quiet member waits and the newest of the other gives way
+
   Scenario: A bad measurement never empties a pool
     When every target fails again and again
     Then at most 40 percent of 10 targets are set aside
--- a/packages/admit/features/slot_pool_steps.ts
+++ b/packages/admit/features/slot_pool_steps.ts
@@ -118,7 +118,7 @@
           waitUntilMillis: now + 500,
         });
         offered.set(request.id, request);
-        take([subject.offer(request, now)]);
+        take(subject.offer(request, now));
         break;
       }
       case "finish": {
@@ -184,7 +184,7 @@
 function fill(member: string, waiting: number): string[] {
   const held: string[] = [];
   for (let i = 0; i < waiting + 6; i++) {
-    const event = pool.offer(requestOf("interactive", { member }), 0);
+    const [event] = pool.offer(requestOf("interactive", { member }), 0);
     if (event.kind === "admitted") held.push(event.id);
   }
   return held;
@@ -201,7 +201,7 @@
 );
 
 When("bulk requests arrive", () => {
-  events = [pool.offer(requestOf("bulk"), 0)];
+  events = pool.offer(requestOf("bulk"), 0);
 });
 
 /** Ends the oldest holder until `id` is admitted; counts other admissions. */
@@ -234,7 +234,7 @@
 );
 
 When("a quiet member sends one request", () => {
-  events = [pool.offer(requestOf("interactive", { member: "m2" }), 0)];
+  events = pool.offer(requestOf("interactive", { member: "m2" }), 0);
 });
 
 Then("it is admitted among the next {int}", (limit: number) => {
@@ -244,7 +244,7 @@
 When("every target fails again and again", () => {
   pool = createPool(10);
   for (let i = 0; i < 500; i++) {
-    const event = pool.offer(requestOf("interactive"), 0);
+    const [event] = pool.offer(requestOf("interactive"), 0);
     if (event.kind === "admitted") {
       pool.finish(event.id, "failure", { durationMillis: 5, nowMillis: 0 });
     }
@@ -262,7 +262,7 @@
 });
 
 Then("bulk gets no slot beside it", () => {
-  const event = pool.offer(requestOf("bulk"), 1000);
+  const [event] = pool.offer(requestOf("bulk"), 1000);
   assert.equal(event.kind, "queued");
 });
 
@@ -272,7 +272,7 @@
 });
 
 Then("a request waits until the pool goes on", () => {
-  const event = pool.offer(requestOf("interactive"), 0);
+  const [event] = pool.offer(requestOf("interactive"), 0);
   assert.equal(event.kind, "queued");
   pool.setPaused(false);
   assert.deepEqual(pool.advance(1).map((e) => [e.kind, e.id]), [[
@@ -280,3 +280,22 @@
     event.id,
   ]]);
 });
+
+Given(
+  "a pool whose queue of {int} is full of one member's requests",
+  (limit: number) => {
+    pool = createPool(1);
+    pool.configure([{ id: "t0", slots }], {
+      capInFlight: 1000,
+      queueLimit: limit,
+      maxEjectedShare: 0.4,
+    });
+    fill("m1", limit);
+  },
+);
+
+Then("the quiet member waits and the newest of the other gives way", () => {
+  assert.deepEqual(events.map((e) => e.kind), ["queued", "refused"]);
+  const [again] = pool.offer(requestOf("interactive", { member: "m1" }), 0);
+  assert.equal(again.kind, "refused");
+});
--- a/packages/admit/src/fair_queue.ts
+++ b/packages/admit/src/fair_queue.ts
@@ -75,6 +75,28 @@
     return removed;
   }
 
+  /** The member with most waiting items; undefined for an empty queue. */
+  longest(): string | undefined {
+    let longest: string | undefined;
+    for (const [member, list] of this.#waiting) {
+      if (longest === undefined || list.length > this.sizeOf(longest)) {
+        longest = member;
+      }
+    }
+    return longest;
+  }
+
+  /** Takes out a member's newest item. */
+  popNewest(member: string): T | undefined {
+    const list = this.#waiting.get(member);
+    const tagged = list?.pop();
+    if (list === undefined || tagged === undefined) return undefined;
+    this.#lastFinish.set(member, tagged.startTag);
+    if (list.length === 0) this.#waiting.delete(member);
+    this.#size--;
+    return tagged.item;
+  }
+
   /** Waiting items of one member. */
   sizeOf(member: string): number {
     return this.#waiting.get(member)?.length ?? 0;
--- a/packages/admit/src/slot_pool.ts
+++ b/packages/admit/src/slot_pool.ts
@@ -153,15 +153,14 @@
     this.#paused = paused;
   }
 
-  /** Asks for a slot. */
-  offer(request: PoolRequest, nowMillis: number): PoolEvent {
+  /** Asks for a slot; the first event is the request's own. */
+  offer(request: PoolRequest, nowMillis: number): PoolEvent[] {
+    const { id } = request;
     const queue = this.#queues[this.#queueLane(request.lane)];
     const usable = this.#usableTargets().some((t) =>
       !request.avoid?.includes(t.id)
     );
-    if (!usable) {
-      return { kind: "refused", id: request.id, code: ResultCode.noTarget };
-    }
+    if (!usable) return [{ kind: "refused", id, code: ResultCode.noTarget }];
     if (queue.size === 0) {
       const admitted = this.#tryAdmit(
         { ...request, queuedAtMillis: nowMillis },
@@ -169,17 +168,30 @@
       );
       if (admitted) {
         queue.chargeDirect(request.member);
-        return admitted;
+        return [admitted];
       }
     }
-    if (
-      request.waitUntilMillis <= nowMillis ||
-      queue.size >= this.#limits.queueLimit
-    ) {
-      return { kind: "refused", id: request.id, code: this.#refusalCode() };
+    if (request.waitUntilMillis <= nowMillis) {
+      return [{ kind: "refused", id, code: this.#refusalCode() }];
+    }
+    const evicted = this.#makeRoom(queue, request.member);
+    if (evicted === "full") {
+      return [{ kind: "refused", id, code: this.#refusalCode() }];
     }
     queue.push({ ...request, queuedAtMillis: nowMillis });
-    return { kind: "queued", id: request.id, position: queue.size };
+    return [{ kind: "queued", id, position: queue.size }, ...evicted];
+  }
+
+  /** In a full queue the member with most waiting gives way to one with fewer. */
+  #makeRoom(queue: FairQueue<Waiting>, member: string): PoolEvent[] | "full" {
+    if (queue.size < this.#limits.queueLimit) return [];
+    const longest = queue.longest();
+    if (
+      longest === undefined || queue.sizeOf(longest) <= queue.sizeOf(member) + 1
+    ) return "full";
+    const evicted = queue.popNewest(longest);
+    if (evicted === undefined) return "full";
+    return [{ kind: "refused", id: evicted.id, code: this.#refusalCode() }];
   }
 
   /** Takes one more slot for a hedge, only where one is free at once. */
--- a/packages/config/src/parse_settings.ts
+++ b/packages/config/src/parse_settings.ts
@@ -37,11 +37,12 @@
 }).prefault({});
 
 const timers = z.strictObject({
-  heartbeatMillis: millis(500, 10_000),
-  suspectAfterMillis: millis(2000, 60_000),
-  headPollMillis: millis(500, 10_000),
+  heartbeatMillis: millis(1000, 10_000),
+  suspectAfterMillis: millis(3000, 60_000),
+  headPollMillis: millis(1000, 10_000),
   freshnessMillis: millis(4000, 60_000),
-  probeMillis: millis(500, 10_000),
+  probeMillis: millis(1000, 10_000),
+  listPollMillis: millis(1500, 60_000),
 }).prefault({});
 
 const settingsSchema = z.strictObject({
--- a/packages/entry/features/failure_steps.ts
+++ b/packages/entry/features/failure_steps.ts
@@ -148,6 +148,21 @@
   await untilDrained(id);
 });
 
+When(
+  "the platform's list calls target {string} leaving",
+  slow,
+  async (id: string) => {
+    scenario.system.platform.store.instances.push({
+      id,
+      kind: "target",
+      dataCentre: "a1",
+      peerAddress: "",
+      leaving: true,
+    });
+    await untilDrained(id);
+  },
+);
+
 When("an operator drains target {string}", slow, async (id: string) => {
   published = await actions("e1").edit({
     edit: {
--- a/packages/entry/features/failures.feature
+++ b/packages/entry/features/failures.feature
@@ -17,6 +17,12 @@
     Then all are answered whole
     And target "a1-t1" runs nothing more
 
+  Scenario: A target that the platform's list calls leaving gets no new work
+    When the platform's list calls target "a1-t1" leaving
+    And 20 requests are sent to "e1"
+    Then all are answered whole
+    And target "a1-t1" runs nothing more
+
   Scenario: An operator drains a target
     When an operator drains target "a1-t1"
     And 20 requests are sent to "e1"
--- a/packages/entry/features/support/test_system.ts
+++ b/packages/entry/features/support/test_system.ts
@@ -220,6 +220,7 @@
         headPollMillis: 100,
         freshnessMillis: 1500,
         probeMillis: 200,
+        listPollMillis: 1000,
       },
       log: { level: "info", lookups: true },
       stopOnBreach: false,
--- a/packages/entry/src/membership_task.ts
+++ b/packages/entry/src/membership_task.ts
@@ -27,8 +27,6 @@
 
 const maxRecords = 4096;
 const keepDeadMillis = 600_000;
-/** At this rate 540 instances read the list 360 times a second. */
-const seedEveryMillis = 1500;
 const maxContacts = 20;
 const unreachableRefreshMillis = 250;
 const objectTimeoutMillis = 2000;
@@ -85,7 +83,8 @@
   async start(): Promise<void> {
     this.mesh.start();
     await this.#seed();
-    this.#seedTimer = setInterval(() => this.#seed(), seedEveryMillis);
+    const { listPollMillis } = this.#options.context.settings.timers;
+    this.#seedTimer = setInterval(() => this.#seed(), listPollMillis);
   }
 
   stop(): void {
@@ -154,8 +153,9 @@
     }
     try {
       const listed = await platform.instances.list();
+      this.#noteLeaving(listed);
       const unknown = listed.filter((item) =>
-        this.table.get(item.id) === undefined
+        item.kind !== "target" && this.table.get(item.id) === undefined
       );
       for (const item of this.#chooseContacts(unknown)) {
         this.mesh.contact(item.peerAddress);
--- a/packages/entry/src/pool_task.ts
+++ b/packages/entry/src/pool_task.ts
@@ -265,7 +265,7 @@
           reject(error);
         },
       });
-      const event = this.#pool.offer({
+      const events = this.#pool.offer({
         id: slotId,
         member: work.info.member,
         lane: work.info.lane,
@@ -275,7 +275,7 @@
         avoid,
         suspect: this.#options.crashes.isSuspect(work.info.fingerprint),
       }, now);
-      this.#handle([event]);
+      this.#handle(events);
     });
   }
 
--- a/packages/types/src/settings.ts
+++ b/packages/types/src/settings.ts
@@ -32,6 +32,8 @@
   /** Age of the last proof of the newest revision at which an instance is cut off. */
   freshnessMillis: number;
   probeMillis: number;
+  /** How often the platform's list is read for leaving instances and targets. */
+  listPollMillis: number;
 }
 
 /** All settings of an entry. */
--- a/tools/src/bench/pool_harness.ts
+++ b/tools/src/bench/pool_harness.ts
@@ -71,6 +71,14 @@
     }));
   }
 
+  /** Ends targets as crashes would. */
+  async crash(ids: string[]): Promise<void> {
+    await Promise.all(ids.map(async (id) => {
+      const url = `http://${this.#control}/crash/${id}`;
+      await (await request(url, { method: "PUT", body: "{}" })).body.dump();
+    }));
+  }
+
   /** Requests begun by each target since the start, by id. */
   async ran(): Promise<
     Map<string, { count: number; peak: number; lastAtMillis: number }>
--- a/tools/src/bench/run_bench.ts
+++ b/tools/src/bench/run_bench.ts
@@ -7,6 +7,12 @@
 import { type Bench, formatBench } from "./bench_report.ts";
 import { controlBench } from "./control_bench.ts";
 import { entryBench } from "./entry_bench.ts";
+import { drainBench } from "./drain_bench.ts";
+import { linksBench } from "./links_bench.ts";
+import { moveBench } from "./move_bench.ts";
+import { overloadBench } from "./overload_bench.ts";
+import { membersBench } from "./members_bench.ts";
+import { slotsBench } from "./slots_bench.ts";
 import { holBench } from "./hol_bench.ts";
 import { lookupBench } from "./lookup_bench.ts";
 import { tailBench } from "./tail_bench.ts";
@@ -14,7 +20,13 @@
 const benches: Record<string, Bench> = {
   control: controlBench,
   entry: entryBench,
+  drain: drainBench,
   hol: holBench,
+  links: linksBench,
+  members: membersBench,
+  move: moveBench,
+  overload: overloadBench,
+  slots: slotsBench,
   lookup: lookupBench,
   tail: tailBench,
 };
