Callers of the harness try each seed once

Cause: one to sixteen of 1270 requests of the drain bench found no entry that answered a look-up: tries shared one counter, so with a seed stopped all tries of one call could hit that seed. The product was excluded by the errors: each was a refused connection to the stopped entry. Change: the first seed is taken once for each call.

--- a/tools/src/bench/drain_bench.ts
+++ b/tools/src/bench/drain_bench.ts
@@ -1,6 +1,7 @@
 /**
  * A target leaves under load, by each of the three signals.
  */
+import process from "node:process";
 import {
   atMost,
   type BenchArm,
@@ -146,7 +147,15 @@
   const targets = await cluster.targets();
   await cluster.stop();
   await cluster.removeFolder();
-  const interrupted = results.filter((r) => r.outcome !== "ran").length;
+  const failures = results.filter((r) => r.outcome !== "ran");
+  const interrupted = failures.length;
+  for (const { call, code, sends, detail, durationMillis } of failures) {
+    const name = `${call.service}${call.path} (${call.key})`;
+    const text = `${name}: code ${code} after ${sends} sends, ${
+      Math.round(durationMillis)
+    } ms: ${detail}`;
+    process.stderr.write(`${text}\n`);
+  }
   const breaches = verifyCalls(results, targets);
   const arms: BenchArm[] = given.map(({ signal, atMillis }) => {
     const ran = targets.find((t) => t.id === signal.target)?.ran ?? [];
--- a/tools/src/harness/caller.ts
+++ b/tools/src/harness/caller.ts
@@ -71,6 +71,7 @@
   readonly #lookups = new Map<string, Lookup>();
   readonly #tickets = new Map<string, Ticket[]>();
   #seed = 0;
+  #lookupFailure = "";
   #key = 0;
 
   constructor(options: CallerOptions) {
@@ -84,7 +85,7 @@
   /** Runs one call to its end. */
   async run(call: Call): Promise<CallResult> {
     const startedAt = performance.now();
-    let last: Sent = unsent("no entry answered");
+    let last: Sent = unsent("no entry answered the look-up");
     let sends = 0;
     let ticket: Ticket | undefined;
     const ownKey = `${call.client}-${process.pid}-${Date.now()}-${++this.#key}`;
@@ -94,7 +95,10 @@
     ) {
       const entries = await this.#lookUp(call);
       const address = entries[sends % Math.max(1, entries.length)]?.address;
-      if (address === undefined) break;
+      if (address === undefined) {
+        last = unsent(`no entry answered the look-up: ${this.#lookupFailure}`);
+        break;
+      }
       if (call.key === "ticket") {
         ticket ??= await this.#takeTicket(call, entries);
       }
@@ -130,9 +134,11 @@
       service: call.service,
       client: call.client,
     });
-    for (let attempt = 0; attempt < this.#options.seeds.length; attempt++) {
-      const seed =
-        this.#options.seeds[this.#seed++ % this.#options.seeds.length];
+    // Taken once: with a shared counter the tries of one call may all hit one seed.
+    const first = this.#seed++;
+    const { seeds } = this.#options;
+    for (let attempt = 0; attempt < seeds.length; attempt++) {
+      const seed = seeds[(first + attempt) % seeds.length];
       try {
         const reply = await request(`http://${seed}/v1/lookup?${query}`, {
           dispatcher: this.#agent,
@@ -142,7 +148,12 @@
           entries?: Lookup["entries"];
           ttlSeconds?: number;
         };
-        if (reply.statusCode !== 200 || !answer.entries?.length) continue;
+        if (reply.statusCode !== 200 || !answer.entries?.length) {
+          this.#lookupFailure = `${seed}: ${reply.statusCode} ${
+            JSON.stringify(answer)
+          }`;
+          continue;
+        }
         const lifetimeMillis = 1000 * (answer.ttlSeconds ?? 1);
         const entries = answer.entries;
         this.#lookups.set(key, {
@@ -150,8 +161,8 @@
           expiresAtMillis: performance.now() + lifetimeMillis,
         });
         return entries;
-      } catch {
-        continue;
+      } catch (error) {
+        this.#lookupFailure = `${seed}: ${error}`;
       }
     }
     return known?.entries ?? [];
