--- a/packages/config/src/parse_settings.ts
+++ b/packages/config/src/parse_settings.ts
@@ -32,7 +32,7 @@
   connections: amount(4096, 65_536),
   ticketsPerBatch: amount(64, 1024),
   ticketLifetimeMillis: millis(120_000, 3_600_000),
-  keptAnswers: amount(10_000, 1_000_000),
+  keptAnswers: amount(100_000, 1_000_000),
   keptAnswerBytes: amount(16_384, 1_048_576),
 }).prefault({});
 
--- a/packages/entry/features/failure_steps.ts
+++ b/packages/entry/features/failure_steps.ts
@@ -502,3 +502,39 @@
       )
     ),
 );
+
+When(
+  "a slow request for client {string} runs at {string} while {string} is stopped gracefully",
+  slow,
+  async (client: string, id: string, _same: string) => {
+    const sent = send(callers(id), "/read/slow", { client });
+    await until(() => scenario.system.runs("/read/slow") > 0);
+    const stopped = scenario.system.stopEntry(id);
+    batch = [await sent];
+    await stopped;
+  },
+);
+
+When("an older revision reaches {string} late", async (id: string) => {
+  const { config } = scenario.system.entry(id).running;
+  const { fleet } = scenario.system;
+  // As a message that was on its way while the newer revision was applied.
+  await config.deliver({
+    revision: 1,
+    changeId: "late",
+    operator: "ops",
+    summary: "an older revision",
+    previousHash: "",
+    fleet,
+    blockChunks: [],
+  });
+});
+
+Then("{string} still holds revision {int}", (id: string, revision: number) => {
+  assert.equal(scenario.system.entry(id).running.config.revision, revision);
+});
+
+Then("it is refused in doubt", () => {
+  assert.notEqual(batch[0].code, 0);
+  assert.equal(batch[0].outcome, "unknown", batch[0].text);
+});
--- a/packages/entry/features/failures.feature
+++ b/packages/entry/features/failures.feature
@@ -91,3 +91,18 @@
     Given a planned move of "s1" from a1 to b1 with cap 0.3 and steps 0.1, 0.3
     When an operator advances the move
     Then the duty's holder takes it to step 2 of 2
+
+  Scenario: A graceful stop finishes what runs
+    Given target "b1-t1" takes 3000 ms
+    When a slow request for client "10.3.0.1" runs at "e4" while "e4" is stopped gracefully
+    Then all are answered whole
+
+  Scenario: A late older revision changes nothing
+    When an operator drains target "a1-t1"
+    And an older revision reaches "e1" late
+    Then "e1" still holds revision 2
+
+  Scenario: A lost answer is never called not run
+    Given all targets crash on path "poison"
+    When a request "poison" is sent to "e4"
+    Then it is refused in doubt
--- a/packages/entry/src/config_task.ts
+++ b/packages/entry/src/config_task.ts
@@ -144,6 +144,11 @@
     return published;
   }
 
+  /** Applies a revision that was received whole, unless a newer one is in force. */
+  async deliver(body: ConfigBody): Promise<void> {
+    await this.#apply(contentHash(encodeBody(body)), body, undefined);
+  }
+
   /** Writes a block table's chunks; returns their names for a revision. */
   async writeBlocks(blocks: readonly ClientBlock[]): Promise<string[]> {
     const names: string[] = [];
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -79,7 +79,6 @@
 const groupRows = 100;
 const groupsInFlight = 4;
 const claimTimeoutMillis = 3000;
-const maxExecutions = 100_000;
 const maxKeptBytes = 32 * 1024 * 1024;
 const maxWaitingOutcomes = 10_000;
 const maxCrashFingerprints = 1000;
--- /dev/null
+++ b/tools/src/check/break_invariants.ts
@@ -0,0 +1,148 @@
+/**
+ * `npm run breaks`: shows that each assertion can fail. For each, a copy of
+ * the built product gets one small fault, and the named scenario must then
+ * report a breach of that invariant.
+ */
+import { cp, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import process from "node:process";
+import { formatRows } from "../harness/format_rows.ts";
+
+/** A small fault and the scenario that must notice it. */
+interface Break {
+  invariant: string;
+  file: string;
+  find: string;
+  replace: string;
+  feature: string;
+  scenario: string;
+}
+
+const failures = "packages/entry/features/failures.feature";
+const atMostOnce = "packages/entry/features/at_most_once.feature";
+const wholePath = "packages/entry/features/whole_path.feature";
+
+const breaks: Break[] = [
+  {
+    invariant: "move-cap",
+    file: "packages/entry/dist/move_meter.js",
+    find: "count.moved + 1 <= capShare * count.total",
+    replace: "true",
+    feature: failures,
+    scenario: "A move shifts its share and never more than its cap",
+  },
+  {
+    invariant: "region-cap",
+    file: "packages/admit/dist/slot_pool.js",
+    find: "this.#paused || this.#holders.size >= this.#limits.capInFlight",
+    replace: "this.#paused",
+    feature: failures,
+    scenario: "A region's cap holds under three times its load",
+  },
+  {
+    invariant: "answer-matches",
+    file: "packages/entry/dist/caller_server.js",
+    find: "marks.request = work.info.id;",
+    replace: 'marks.request = "another";',
+    feature: wholePath,
+    scenario: "Explain gives the reason that the decision logged",
+  },
+  {
+    invariant: "not-run-proven",
+    file: "packages/entry/dist/pool_task.js",
+    find: "throw doubt ?? error;",
+    replace: "throw error;",
+    feature: failures,
+    scenario: "A lost answer is never called not run",
+  },
+  {
+    invariant: "at-most-once",
+    file: "packages/entry/dist/pool_task.js",
+    find: "if (!work.info.idempotent)\n                    return false;",
+    replace: "",
+    feature: failures,
+    scenario: "An answer cut short never passes for a whole one",
+  },
+  {
+    invariant: "no-work-to-leaving",
+    file: "packages/entry/dist/pool_task.js",
+    find: "this.#pool.setDraining(target, draining);",
+    replace: "",
+    feature: failures,
+    scenario: "A target that drains by its own signal gets no new work",
+  },
+  {
+    invariant: "graceful-stop",
+    file: "packages/entry/dist/start_entry.js",
+    find: "await finishWork();",
+    replace: "",
+    feature: failures,
+    scenario: "A graceful stop finishes what runs",
+  },
+  {
+    invariant: "revision-forward",
+    file: "packages/agree/dist/applied_config.js",
+    find:
+      "if (revision.head.revision <= this.revision)\n            return false;",
+    replace: "",
+    feature: failures,
+    scenario: "A late older revision changes nothing",
+  },
+];
+async function run(folder: string, item: Break): Promise<string> {
+  const child = spawn("node_modules/.bin/cucumber-js", [
+    "--name",
+    `^${item.scenario}$`,
+  ], {
+    cwd: folder,
+    env: {
+      ...process.env,
+      NODE_OPTIONS: "--import tsx",
+      FEATURES: item.feature,
+    },
+  });
+  let output = "";
+  child.stdout.on("data", (chunk) => output += chunk);
+  child.stderr.on("data", (chunk) => output += chunk);
+  await once(child, "exit");
+  return output;
+}
+
+/** True where the broken product reports the breach. */
+async function notices(item: Break): Promise<string> {
+  const folder = await mkdtemp(path.join(tmpdir(), "bamboolane-break-"));
+  try {
+    await cp(".", folder, {
+      recursive: true,
+      verbatimSymlinks: true,
+      filter: (source) => !source.startsWith(".git/") && source !== ".run",
+    });
+    const file = path.join(folder, item.file);
+    const text = await readFile(file, "utf8");
+    if (!text.includes(item.find)) return "the line to break was not found";
+    await writeFile(file, text.replace(item.find, item.replace));
+    const output = await run(folder, item);
+    if (output.includes(`: ${item.invariant}`)) return "noticed";
+    return output.includes("0 scenarios") ? "no such scenario" : "NOT NOTICED";
+  } finally {
+    await rm(folder, { recursive: true, force: true });
+  }
+}
+
+const wanted = process.argv.slice(2);
+const rows = [["INVARIANT", "RESULT"]];
+let noticed = 0;
+const chosen = breaks.filter((b) =>
+  wanted.length === 0 || wanted.includes(b.invariant)
+);
+for (const item of chosen) {
+  const result = await notices(item);
+  if (result === "noticed") noticed++;
+  rows.push([item.invariant, result]);
+}
+process.stdout.write(formatRows(rows) + "\n");
+process.stdout.write(`breaks: ${noticed} of ${chosen.length} noticed\n`);
+process.exit(noticed === chosen.length ? 0 : 1);
--- a/tools/src/matrix/step_kinds.ts
+++ b/tools/src/matrix/step_kinds.ts
@@ -20,6 +20,8 @@
 export type StepKind = (scene: StepScene) => Promise<void>;
 
 const callTimeoutMillis = 5000;
+/** Forty archive pulls of 400 ms share six bulk slots. */
+const burstTimeoutMillis = 20_000;
 const waitMillis = 12_000;
 const drainGraceMillis = 2000;
 let marks = 0;
@@ -46,7 +48,11 @@
   }
 }
 
-function read(block: number, path = "/pickups"): Call {
+function read(
+  block: number,
+  path = "/pickups",
+  timeoutMillis = callTimeoutMillis,
+): Call {
   return {
     member: "ndiaye",
     service: "pickups",
@@ -55,7 +61,7 @@
     body: "",
     client: `10.${block}.0.1`,
     key: "none",
-    timeoutMillis: callTimeoutMillis,
+    timeoutMillis,
   };
 }
 
@@ -254,7 +260,9 @@
   "look-up": lookUp,
   "forward": (scene) => runCalls(scene, many(9, (i) => read(1 + i % 3))),
   "admission": (scene) =>
-    runCalls(scene, many(40, () => read(2, "/archive")), { allowNotRun: true }),
+    runCalls(scene, many(40, () => read(2, "/archive", burstTimeoutMillis)), {
+      allowNotRun: true,
+    }),
   "ticket": (scene) => runCalls(scene, many(6, () => charge("ticket"))),
   "claim": (scene) => runCalls(scene, many(6, () => charge("own"))),
   "publish": publish,
