--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -206,7 +206,7 @@
     onDecision: (decision) => decisions.add(decision),
   });
   const executions = new ExecutionTable({
-    maxKeys: maxExecutions,
+    maxKeys: settings.limits.keptAnswers,
     maxKeptBytes,
   });
   const claimWriter = createWriter(platform, claimWindowMillis);
