Split the pool task and the entry's wiring by job

Change: attempts on targets and the assembly of parts are modules of their own; a graceful stop also waits for the outcomes of claims to be written.

--- /dev/null
+++ b/packages/entry/src/assemble_entry.ts
@@ -0,0 +1,342 @@
+/**
+ * Assembles the parts of an entry and wires them together. Nothing runs yet.
+ */
+import { randomInt } from "node:crypto";
+import process from "node:process";
+import { ResultCode } from "@bamboolane/errors/result_code";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import { ClaimBook } from "@bamboolane/idempotency/claim_book";
+import { ExecutionTable } from "@bamboolane/idempotency/execution_table";
+import { GroupWriter } from "@bamboolane/idempotency/group_writer";
+import { OutcomeLog } from "@bamboolane/idempotency/outcome_log";
+import { TicketBook } from "@bamboolane/idempotency/ticket_book";
+import type { EventLog } from "@bamboolane/logger/create_logger";
+import type { Metrics } from "@bamboolane/metrics/create_metrics";
+import { connectPlatform } from "@bamboolane/platform/http_platform";
+import {
+  type Clock,
+  type Platform,
+  systemClock,
+} from "@bamboolane/platform/ports";
+import { CrashWatch } from "@bamboolane/route/crash_watch";
+import { LaneLearner } from "@bamboolane/route/lane_learner";
+import { InstanceState } from "@bamboolane/types/instance";
+import type { EntrySettings } from "@bamboolane/types/settings";
+import type { Work } from "./answer.ts";
+import { CallerServer, wholeBodyBytes } from "./caller_server.ts";
+import { ConfigTask } from "./config_task.ts";
+import type { EntryContext } from "./context.ts";
+import { DecisionLog } from "./decision_log.ts";
+import { DutyTask } from "./duty_task.ts";
+import { ForwardClient } from "./forward_client.ts";
+import { type ForwardHandlers, serveForward } from "./forward_server.ts";
+import { Invariant, Invariants } from "./invariants.ts";
+import { KeyedRequests } from "./keyed_requests.ts";
+import { LinkPacer } from "./link_pacer.ts";
+import { LookupHandler } from "./lookup_handler.ts";
+import { MemberStats } from "./member_stats.ts";
+import { MembershipTask } from "./membership_task.ts";
+import { MoveMeter } from "./move_meter.ts";
+import { OperatorActions } from "./operator_actions.ts";
+import { OperatorServer } from "./operator_server.ts";
+import { PoolDirectory } from "./pool_directory.ts";
+import { PoolManager } from "./pool_manager.ts";
+import { Router } from "./router.ts";
+import { StatsWriter } from "./stats_writer.ts";
+import type { SteeringState } from "./steering_state.ts";
+
+/** Options of {@link assembleEntry}. */
+export interface AssembleOptions {
+  settings: EntrySettings;
+  log: EventLog;
+  clock?: Clock;
+  /** Another platform than the one that the settings name. */
+  platform?: Platform;
+  metrics: Metrics;
+  /** Ends the process after a breach; replaced in tests. */
+  onBreach?: (name: Invariant) => void;
+}
+
+/** The parts of an entry. */
+export interface EntryParts {
+  context: EntryContext;
+  incarnation: number;
+  platform: Platform;
+  config: ConfigTask;
+  membership: MembershipTask;
+  pools: PoolManager;
+  forward: ForwardClient;
+  executions: ExecutionTable;
+  outcomes: OutcomeLog;
+  claimWriter: GroupWriter;
+  callers: CallerServer;
+  operators: OperatorServer;
+  duties: DutyTask;
+  statsWriter: StatsWriter;
+  actions: OperatorActions;
+  /** Serves requests that other entries hand over. */
+  serveForwarded: (stream: Parameters<typeof serveForward>[0]) => void;
+}
+
+const claimWindowMillis = 10;
+const outcomeWindowMillis = 200;
+const groupRows = 100;
+const groupsInFlight = 4;
+const claimTimeoutMillis = 3000;
+const maxKeptBytes = 32 * 1024 * 1024;
+const maxWaitingOutcomes = 10_000;
+const maxCrashFingerprints = 1000;
+const crashMemoryMillis = 600_000;
+const maxLearnedRoutes = 10_000;
+/** Spreads incarnations that start in the same millisecond. */
+const incarnationSpread = 2048;
+const breachExitCode = 70;
+
+function createContext(options: AssembleOptions): EntryContext {
+  const { settings, log, metrics } = options;
+  const stopProcess = () => {
+    log.flush();
+    process.exit(breachExitCode);
+  };
+  const onBreach = options.onBreach ??
+    (settings.stopOnBreach ? stopProcess : () => {});
+  return {
+    settings,
+    log,
+    metrics,
+    clock: options.clock ?? systemClock,
+    random: Math.random,
+    invariants: new Invariants({ log, metrics, onBreach }),
+  };
+}
+
+/** Assembles an entry. */
+export function assembleEntry(options: AssembleOptions): EntryParts {
+  const { settings, metrics } = options;
+  const context = createContext(options);
+  const { clock } = context;
+  const incarnation = clock.wallMillis() * incarnationSpread +
+    randomInt(incarnationSpread);
+  const platform = options.platform ?? connectPlatform(settings.platform.url, {
+    timeoutMillis: settings.platform.timeoutMillis,
+    onCall: (kind) => metrics.count("bamboolane_store_calls", 1, { kind }),
+  });
+  const crashes = new CrashWatch({
+    maxFingerprints: maxCrashFingerprints,
+    memoryMillis: crashMemoryMillis,
+  });
+  const learner = new LaneLearner({ maxRoutes: maxLearnedRoutes });
+  const stats = new MemberStats({ wallMillis: clock.wallMillis() });
+  const meter = new MoveMeter();
+  const pacer = new LinkPacer(context);
+  const decisions = new DecisionLog();
+
+  function onMembershipChange() {
+    pools.reconcile();
+    tuneLinks(config.state);
+  }
+
+  function tuneLinks(state: SteeringState | undefined) {
+    if (state === undefined) return;
+    const sharers = membership.table.live()
+      .filter((i) => i.region === settings.instance.region).length;
+    pacer.configure(state.fleet, { sharers });
+  }
+
+  function onApplied(state: SteeringState) {
+    meter.keepOnly(new Set(state.fleet.moves.map((m) => m.id)));
+    pools.reconcile();
+    tuneLinks(state);
+    membership.announce({ revision: state.revision });
+  }
+
+  const membership: MembershipTask = new MembershipTask({
+    context,
+    platform,
+    incarnation,
+    config: () => config,
+    suspects: () => crashes.list(clock.nowMillis()),
+    onSuspects: (suspects) => {
+      const news = suspects.map((s) => crashes.merge(s, clock.nowMillis()));
+      if (news.includes(true)) membership.mesh.kickSuspects();
+    },
+    onChange: onMembershipChange,
+  });
+  const config: ConfigTask = new ConfigTask({
+    context,
+    platform,
+    isRelay: () => membership.table.ownRelayRank() >= 0,
+    fetchFrom: (peer, hash) => membership.fetchFrom(peer, hash),
+    onApplied,
+  });
+  const pools: PoolManager = new PoolManager({
+    context,
+    membership,
+    state: () => config.state,
+    crashes,
+    learner,
+    onCrash: () => membership.mesh.kickSuspects(),
+    onSlotTime: (work, slotMillis) => stats.addSlotTime(work.info, slotMillis),
+  });
+  const directory = new PoolDirectory({
+    table: membership.table,
+    now: () => clock.nowMillis(),
+    unreachable: () => membership.unreachable(),
+  });
+  const forward = new ForwardClient({
+    context,
+    pacer,
+    revision: () => config.revision,
+    onLoad: (instance, load) => {
+      const record = membership.table.get(instance);
+      if (record) directory.noteLoad(record.dataCentre, load);
+    },
+  });
+  const router = new Router({
+    context,
+    state: () => requireState(config.state),
+    directory,
+    forward,
+    meter,
+    isCutOff: () => config.isCutOff(),
+    ownPool: (service) => pools.pool(service),
+    onDecision: (decision) => decisions.add(decision),
+  });
+  const executions = new ExecutionTable({
+    maxKeys: settings.limits.keptAnswers,
+    maxKeptBytes,
+  });
+  const claimWriter = createWriter(platform, claimWindowMillis);
+  const outcomeWriter = createWriter(platform, outcomeWindowMillis);
+  const tickets = new TicketBook({
+    instance: settings.instance.id,
+    incarnation,
+    lifetimeMillis: settings.limits.ticketLifetimeMillis,
+  });
+  const outcomes = new OutcomeLog({
+    table: platform.table,
+    writer: outcomeWriter,
+    clock,
+    maxWaiting: maxWaitingOutcomes,
+  });
+  const keyed = new KeyedRequests({
+    context,
+    tickets,
+    claims: new ClaimBook({
+      instance: settings.instance.id,
+      incarnation,
+      table: platform.table,
+      writer: claimWriter,
+      clock,
+      timeoutMillis: claimTimeoutMillis,
+    }),
+    outcomes,
+    executions,
+    table: membership.table,
+    forward,
+    run: (work) => router.run(work),
+  });
+  const lookups = new LookupHandler({
+    context,
+    state: () => config.state,
+    table: membership.table,
+    unreachable: () => membership.unreachable(),
+  });
+  const callers = new CallerServer({
+    context,
+    state: () => config.state,
+    lookups,
+    tickets,
+    learner,
+    crashes,
+    stats,
+    run: (work) => keyed.run(work),
+    isLeaving: () => membership.table.self.state === InstanceState.leaving,
+  });
+  const duties = new DutyTask({
+    context,
+    platform,
+    membership,
+    config,
+    directory,
+    incarnation,
+  });
+  const statsWriter = new StatsWriter({
+    context,
+    platform,
+    stats,
+    incarnation,
+  });
+  const actions = new OperatorActions({
+    context,
+    platform,
+    config,
+    membership,
+    pools,
+    duties,
+    router,
+    learner,
+    decisions,
+    meter,
+    statsWriter,
+  });
+  const operators = new OperatorServer({ context, actions });
+  const handlers: ForwardHandlers = {
+    run: (work) => runInOwnPool(work),
+    ticket: (work) => keyed.runTicket(work),
+    claim: (work) => keyed.answerClaim(work),
+    load: (service) => pools.load(service),
+    regionOf: (sender) => membership.table.get(sender)?.region ?? "",
+  };
+
+  function runInOwnPool(work: Work) {
+    const pool = pools.pool(work.info.service);
+    if (pool === undefined) throw new SteeringError(ResultCode.notOwner);
+    if (crashes.isHeld(work.info.fingerprint, clock.nowMillis())) {
+      throw new SteeringError(ResultCode.heldBack);
+    }
+    return pool.run(work);
+  }
+
+  function serveForwarded(stream: Parameters<typeof serveForward>[0]) {
+    serveForward(stream, {
+      context,
+      pacer,
+      handlers,
+      wholeBytes: wholeBodyBytes,
+    });
+  }
+
+  return {
+    context,
+    incarnation,
+    platform,
+    config,
+    membership,
+    pools,
+    forward,
+    executions,
+    outcomes,
+    claimWriter,
+    callers,
+    operators,
+    duties,
+    statsWriter,
+    actions,
+    serveForwarded,
+  };
+}
+
+function createWriter(platform: Platform, windowMillis: number): GroupWriter {
+  return new GroupWriter({
+    table: platform.table,
+    windowMillis,
+    maxRows: groupRows,
+    maxInFlight: groupsInFlight,
+  });
+}
+
+function requireState(state: SteeringState | undefined): SteeringState {
+  if (state === undefined) throw new SteeringError(ResultCode.noConfiguration);
+  return state;
+}
--- a/packages/entry/src/pool_task.ts
+++ b/packages/entry/src/pool_task.ts
@@ -9,6 +9,7 @@
   toSteeringError,
 } from "@bamboolane/errors/steering_error";
 import {
+  type FinishKind,
   type PoolEvent,
   type PoolStatus,
   SlotPool,
@@ -23,30 +24,17 @@
   type ServiceConfig,
 } from "@bamboolane/types/fleet";
 import { Outcome } from "@bamboolane/types/request";
+import { type Answer, isReplayable, type Work } from "./answer.ts";
 import {
-  type Answer,
-  concatBytes,
-  isHeld,
-  isReplayable,
-  noteDispatch,
-  type Work,
-} from "./answer.ts";
+  type AttemptHost,
+  AttemptRunner,
+  type Grant,
+} from "./attempt_runner.ts";
 import type { EntryContext } from "./context.ts";
 import { type Attempt, raceHedged } from "./hedge_race.ts";
 import { Invariant } from "./invariants.ts";
 import { LatencyWindow } from "./latency_window.ts";
-import {
-  TargetClient,
-  TargetRefusal,
-  type TargetResponse,
-} from "./target_client.ts";
-
-/** A slot on a target. */
-interface Grant {
-  slotId: string;
-  target: string;
-  startedAtMillis: number;
-}
+import { TargetClient } from "./target_client.ts";
 
 interface Waiter {
   resolve: (grant: Grant) => void;
@@ -101,6 +89,7 @@
   readonly #retryBudget = new AttemptBudget({ initial: initialBudget });
   readonly #configDrained = new Set<string>();
   readonly #signalDrained = new Set<string>();
+  readonly #attempts: AttemptRunner;
   #config: PoolConfig;
   #timer: NodeJS.Timeout | undefined;
   #nextSlot = 0;
@@ -116,6 +105,7 @@
       strategy: options.strategy,
       singleQueue: options.singleQueue,
     });
+    this.#attempts = new AttemptRunner(this.#attemptHost());
     this.configure(options.config);
   }
 
@@ -284,7 +274,7 @@
     options: { grant: Grant; values: FleetDefaults },
   ): Promise<Answer> {
     const { grant, values } = options;
-    const first = this.#attempt(work, grant, values);
+    const first = this.#attempts.start(work, grant, values);
     const delay = this.#hedgeDelay(work);
     if (delay === undefined) return await first.answer;
     return await raceHedged(first, {
@@ -332,159 +322,26 @@
       afterMillis: Math.round(options.delay),
     });
     const second = { slotId, target: event.target, startedAtMillis: now };
-    return this.#attempt(work, second, values);
-  }
-
-  /** Starts one attempt; its answer gives the slot back when it ends. */
-  #attempt(work: Work, grant: Grant, values: FleetDefaults): Attempt {
-    const abort = new AbortController();
-    const stop = () => abort.abort();
-    work.signal.addEventListener("abort", stop, { once: true });
-    const remaining = work.deadlineMillis - this.#now();
-    let deadlinePassed = false;
-    const timer = setTimeout(() => {
-      deadlinePassed = true;
-      abort.abort();
-    }, Math.max(1, remaining));
-    const end = () => {
-      clearTimeout(timer);
-      work.signal.removeEventListener("abort", stop);
-    };
-    const answer = this.#send(work, {
-      grant,
-      values,
-      signal: abort.signal,
-      remaining,
-    })
-      .then((response) => this.#toAnswer(work, { grant, response, abort, end }))
-      .catch(async (error) => {
-        end();
-        const failure = deadlinePassed
-          ? new SteeringError(ResultCode.deadlineWhileRunning)
-          : toSteeringError(error, ResultCode.internal);
-        await this.#onFailure(work, grant, failure);
-        throw failure;
-      });
-    answer.catch(() => {});
-    return { answer, cancel: stop };
-  }
-
-  #send(
-    work: Work,
-    options: {
-      grant: Grant;
-      values: FleetDefaults;
-      signal: AbortSignal;
-      remaining: number;
-    },
-  ): Promise<TargetResponse> {
-    const { grant, values } = options;
-    const client = this.#clients.get(grant.target);
-    if (client === undefined) {
-      work.trace.dispatches++;
-      return Promise.reject(
-        new SteeringError(ResultCode.connectFailed, "Target was removed."),
-      );
-    }
-    this.#options.context.invariants.check(
-      Invariant.noWorkToLeaving,
-      !this.#configDrained.has(grant.target) &&
-        !this.#signalDrained.has(grant.target),
-      () => `target=${grant.target} request=${work.info.id}`,
-    );
-    noteDispatch(work, this.#options.context.invariants);
-    return client.send(work, {
-      signal: options.signal,
-      remainingMillis: options.remaining,
-      refusal: values.notRunRefusal,
-      drainHeader: values.drainHeader,
-    });
-  }
-
-  async #toAnswer(
-    work: Work,
-    parts: {
-      grant: Grant;
-      response: TargetResponse;
-      abort: AbortController;
-      end: () => void;
-    },
-  ): Promise<Answer> {
-    const { grant, response, abort, end } = parts;
-    if (response.draining) this.#setSignalDrained(grant.target, true);
-    const failed = response.status >= 500;
-    let ended = false;
-    const finish = (how: "success" | "failure" | "cancelled") => {
-      if (ended) return;
-      ended = true;
-      end();
-      this.#finish(work, grant, how === "success" && failed ? "failure" : how);
-    };
-    const cancel = () => {
-      if (ended) return;
-      finish("cancelled");
-      abort.abort();
-      response.destroy();
+    return this.#attempts.start(work, second, values);
+  }
+
+  #attemptHost(): AttemptHost {
+    const { context, crashes, onCrash } = this.#options;
+    return {
+      context,
+      crashes,
+      onCrash,
+      client: (target) => this.#clients.get(target),
+      isLeaving: (target) =>
+        this.#configDrained.has(target) || this.#signalDrained.has(target),
+      dataCentre: () => this.#config.dataCentre,
+      onLeaving: (target) => this.#setSignalDrained(target, true),
+      onDown: (target) => this.#pool.setDown(target, true),
+      onEnd: (work, grant, how) => this.#finish(work, grant, how),
     };
-    const { status, headers } = response;
-    const answer = { status, headers, target: grant.target, cancel };
-    const { dataCentre } = this.#config;
-    if (isHeld(headers)) {
-      const bytes = await readHeld(response);
-      finish("success");
-      return { ...answer, dataCentre, body: { kind: "whole", bytes } };
-    }
-    const chunks = readStream(response.body, finish);
-    return { ...answer, dataCentre, body: { kind: "stream", chunks } };
-  }
-
-  async #onFailure(
-    work: Work,
-    grant: Grant,
-    failure: SteeringError,
-  ): Promise<void> {
-    switch (failure.info) {
-      case ResultCode.targetRefused:
-        if (failure instanceof TargetRefusal && failure.draining) {
-          this.#setSignalDrained(grant.target, true);
-        }
-        work.trace.provenNotRun++;
-        return this.#finish(work, grant, "refused");
-      case ResultCode.connectFailed:
-        work.trace.provenNotRun++;
-        this.#pool.setDown(grant.target, true);
-        return this.#finish(work, grant, "failure");
-      case ResultCode.targetLost:
-      case ResultCode.answerCut:
-        await this.#checkCrash(work, grant);
-        return this.#finish(work, grant, "failure");
-      default:
-        return this.#finish(work, grant, "cancelled");
-    }
-  }
-
-  async #checkCrash(work: Work, grant: Grant): Promise<void> {
-    const client = this.#clients.get(grant.target);
-    if (client === undefined || !await client.isGone()) return;
-    this.#pool.setDown(grant.target, true);
-    const { fingerprint } = work.info;
-    if (
-      !this.#options.crashes.recordCrash(fingerprint, grant.target, this.#now())
-    ) return;
-    const held = this.#options.crashes.isHeld(fingerprint, this.#now());
-    this.#log("crash_suspect", work, {
-      target: grant.target,
-      fingerprint,
-      held,
-    });
-    this.#options.onCrash();
   }
 
-  #finish(
-    work: Work,
-    grant: Grant,
-    how: "success" | "failure" | "cancelled" | "refused",
-  ): void {
+  #finish(work: Work, grant: Grant, how: FinishKind): void {
     const now = this.#now();
     const durationMillis = now - grant.startedAtMillis;
     const { info } = work;
@@ -617,35 +474,3 @@
     return this.#options.context.clock.nowMillis();
   }
 }
-
-/** Reads a small answer to its end. */
-async function readHeld(response: TargetResponse): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of response.body) {
-      chunks.push(chunk);
-      size += chunk.byteLength;
-    }
-  } catch (error) {
-    throw new SteeringError(ResultCode.answerCut, (error as Error).message);
-  }
-  return concatBytes(chunks, size);
-}
-
-/** Passes chunks on; a cut or an early end by the reader is told apart. */
-async function* readStream(
-  body: AsyncIterable<Uint8Array>,
-  finish: (how: "success" | "failure" | "cancelled") => void,
-): AsyncGenerator<Uint8Array> {
-  let how: "success" | "failure" | "cancelled" = "cancelled";
-  try {
-    yield* body;
-    how = "success";
-  } catch (error) {
-    how = "failure";
-    throw new SteeringError(ResultCode.answerCut, (error as Error).message);
-  } finally {
-    finish(how);
-  }
-}
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -1,64 +1,24 @@
 /**
- * Starts an entry: wires its tasks together, serves, and stops gracefully.
+ * Starts an assembled entry, and stops it gracefully.
  */
-import { randomInt } from "node:crypto";
 import process from "node:process";
-import { ResultCode } from "@bamboolane/errors/result_code";
-import { SteeringError } from "@bamboolane/errors/steering_error";
-import { ClaimBook } from "@bamboolane/idempotency/claim_book";
-import { ExecutionTable } from "@bamboolane/idempotency/execution_table";
-import { GroupWriter } from "@bamboolane/idempotency/group_writer";
-import { OutcomeLog } from "@bamboolane/idempotency/outcome_log";
-import { TicketBook } from "@bamboolane/idempotency/ticket_book";
-import type { EventLog } from "@bamboolane/logger/create_logger";
 import {
   createMetrics,
   type Metrics,
 } from "@bamboolane/metrics/create_metrics";
-import { connectPlatform } from "@bamboolane/platform/http_platform";
-import {
-  type Clock,
-  type Platform,
-  systemClock,
-} from "@bamboolane/platform/ports";
-import { CrashWatch } from "@bamboolane/route/crash_watch";
-import { LaneLearner } from "@bamboolane/route/lane_learner";
 import { InstanceState } from "@bamboolane/types/instance";
-import type { EntrySettings } from "@bamboolane/types/settings";
 import { servePeers } from "@bamboolane/wire/peer_channel";
-import type { Work } from "./answer.ts";
-import { CallerServer, wholeBodyBytes } from "./caller_server.ts";
-import { ConfigTask } from "./config_task.ts";
+import { assembleEntry, type AssembleOptions } from "./assemble_entry.ts";
+import type { ConfigTask } from "./config_task.ts";
 import type { EntryContext } from "./context.ts";
-import { DecisionLog } from "./decision_log.ts";
-import { DutyTask } from "./duty_task.ts";
-import { ForwardClient } from "./forward_client.ts";
-import { type ForwardHandlers, serveForward } from "./forward_server.ts";
-import { Invariant, Invariants } from "./invariants.ts";
-import { KeyedRequests } from "./keyed_requests.ts";
-import { LinkPacer } from "./link_pacer.ts";
-import { LookupHandler } from "./lookup_handler.ts";
-import { MemberStats } from "./member_stats.ts";
-import { MembershipTask } from "./membership_task.ts";
-import { MoveMeter } from "./move_meter.ts";
-import { OperatorActions } from "./operator_actions.ts";
-import { OperatorServer } from "./operator_server.ts";
-import { PoolDirectory } from "./pool_directory.ts";
-import { PoolManager } from "./pool_manager.ts";
-import { Router } from "./router.ts";
-import { StatsWriter } from "./stats_writer.ts";
-import type { SteeringState } from "./steering_state.ts";
+import { Invariant } from "./invariants.ts";
+import type { MembershipTask } from "./membership_task.ts";
+import type { OperatorActions } from "./operator_actions.ts";
+import type { PoolManager } from "./pool_manager.ts";
 
 /** Options of {@link startEntry}. */
-export interface StartOptions {
-  settings: EntrySettings;
-  log: EventLog;
-  clock?: Clock;
-  /** Another platform than the one that the settings name. */
-  platform?: Platform;
+export interface StartOptions extends Omit<AssembleOptions, "metrics"> {
   metrics?: Metrics;
-  /** Ends the process after a breach; replaced in tests. */
-  onBreach?: (name: Invariant) => void;
 }
 
 /** A running entry. */
@@ -74,245 +34,35 @@
   kill(): void;
 }
 
-const claimWindowMillis = 10;
-const outcomeWindowMillis = 200;
-const groupRows = 100;
-const groupsInFlight = 4;
-const claimTimeoutMillis = 3000;
-const maxKeptBytes = 32 * 1024 * 1024;
-const maxWaitingOutcomes = 10_000;
-const maxCrashFingerprints = 1000;
-const crashMemoryMillis = 600_000;
-const maxLearnedRoutes = 10_000;
 const housekeepingMillis = 1000;
 /** Added to the look-up's time to live before a stopping instance ends. */
 const leaveMarginMillis = 200;
-/** Spreads incarnations that start in the same millisecond. */
-const incarnationSpread = 2048;
-const breachExitCode = 70;
 /** How long a stopping instance waits for its last outcomes to be written. */
 const closeWaitMillis = 2000;
+const readyPollMillis = 20;
 
-function createContext(options: StartOptions, metrics: Metrics): EntryContext {
-  const { settings, log } = options;
-  const stopProcess = () => {
-    log.flush();
-    process.exit(breachExitCode);
-  };
-  const onBreach = options.onBreach ??
-    (settings.stopOnBreach ? stopProcess : () => {});
-  return {
-    settings,
-    log,
-    metrics,
-    clock: options.clock ?? systemClock,
-    random: Math.random,
-    invariants: new Invariants({ log, metrics, onBreach }),
-  };
-}
-
-/** Starts an entry; resolves when it serves. */
+/** Starts an entry; resolves when it listens. */
 export async function startEntry(options: StartOptions): Promise<RunningEntry> {
   const { settings, log } = options;
   const metrics = options.metrics ??
     await createMetrics(settings.listen.metrics);
-  const context = createContext(options, metrics);
-  const { clock } = context;
-  const incarnation = clock.wallMillis() * incarnationSpread +
-    randomInt(incarnationSpread);
-  const platform = options.platform ?? connectPlatform(settings.platform.url, {
-    timeoutMillis: settings.platform.timeoutMillis,
-    onCall: (kind) => metrics.count("bamboolane_store_calls", 1, { kind }),
-  });
-  const crashes = new CrashWatch({
-    maxFingerprints: maxCrashFingerprints,
-    memoryMillis: crashMemoryMillis,
-  });
-  const learner = new LaneLearner({ maxRoutes: maxLearnedRoutes });
-  const stats = new MemberStats({ wallMillis: clock.wallMillis() });
-  const meter = new MoveMeter();
-  const pacer = new LinkPacer(context);
-  const decisions = new DecisionLog();
-
-  function onMembershipChange() {
-    pools.reconcile();
-    tuneLinks(config.state);
-  }
-
-  function tuneLinks(state: SteeringState | undefined) {
-    if (state === undefined) return;
-    const sharers = membership.table.live()
-      .filter((i) => i.region === settings.instance.region).length;
-    pacer.configure(state.fleet, { sharers });
-  }
-
-  function onApplied(state: SteeringState) {
-    meter.keepOnly(new Set(state.fleet.moves.map((m) => m.id)));
-    pools.reconcile();
-    tuneLinks(state);
-    membership.announce({ revision: state.revision });
-  }
-
-  const membership: MembershipTask = new MembershipTask({
-    context,
-    platform,
-    incarnation,
-    config: () => config,
-    suspects: () => crashes.list(clock.nowMillis()),
-    onSuspects: (suspects) => {
-      const news = suspects.map((s) => crashes.merge(s, clock.nowMillis()));
-      if (news.includes(true)) membership.mesh.kickSuspects();
-    },
-    onChange: onMembershipChange,
-  });
-  const config: ConfigTask = new ConfigTask({
-    context,
-    platform,
-    isRelay: () => membership.table.ownRelayRank() >= 0,
-    fetchFrom: (peer, hash) => membership.fetchFrom(peer, hash),
-    onApplied,
-  });
-  const pools: PoolManager = new PoolManager({
-    context,
-    membership,
-    state: () => config.state,
-    crashes,
-    learner,
-    onCrash: () => membership.mesh.kickSuspects(),
-    onSlotTime: (work, slotMillis) => stats.addSlotTime(work.info, slotMillis),
-  });
-  const directory = new PoolDirectory({
-    table: membership.table,
-    now: () => clock.nowMillis(),
-    unreachable: () => membership.unreachable(),
-  });
-  const forward = new ForwardClient({
-    context,
-    pacer,
-    revision: () => config.revision,
-    onLoad: (instance, load) => {
-      const record = membership.table.get(instance);
-      if (record) directory.noteLoad(record.dataCentre, load);
-    },
-  });
-  const router = new Router({
+  const parts = assembleEntry({ ...options, metrics });
+  const {
     context,
-    state: () => requireState(config.state),
-    directory,
-    forward,
-    meter,
-    isCutOff: () => config.isCutOff(),
-    ownPool: (service) => pools.pool(service),
-    onDecision: (decision) => decisions.add(decision),
-  });
-  const executions = new ExecutionTable({
-    maxKeys: settings.limits.keptAnswers,
-    maxKeptBytes,
-  });
-  const claimWriter = createWriter(platform, claimWindowMillis);
-  const outcomeWriter = createWriter(platform, outcomeWindowMillis);
-  const tickets = new TicketBook({
-    instance: settings.instance.id,
-    incarnation,
-    lifetimeMillis: settings.limits.ticketLifetimeMillis,
-  });
-  const outcomes = new OutcomeLog({
-    table: platform.table,
-    writer: outcomeWriter,
-    clock,
-    maxWaiting: maxWaitingOutcomes,
-  });
-  const keyed = new KeyedRequests({
-    context,
-    tickets,
-    claims: new ClaimBook({
-      instance: settings.instance.id,
-      incarnation,
-      table: platform.table,
-      writer: claimWriter,
-      clock,
-      timeoutMillis: claimTimeoutMillis,
-    }),
-    outcomes,
-    executions,
-    table: membership.table,
-    forward,
-    run: (work) => router.run(work),
-  });
-  const lookups = new LookupHandler({
-    context,
-    state: () => config.state,
-    table: membership.table,
-    unreachable: () => membership.unreachable(),
-  });
-  const callers = new CallerServer({
-    context,
-    state: () => config.state,
-    lookups,
-    tickets,
-    learner,
-    crashes,
-    stats,
-    run: (work) => keyed.run(work),
-    isLeaving: () => membership.table.self.state === InstanceState.leaving,
-  });
-  const duties = new DutyTask({
-    context,
-    platform,
-    membership,
-    config,
-    directory,
-    incarnation,
-  });
-  const statsWriter = new StatsWriter({
-    context,
-    platform,
-    stats,
-    incarnation,
-  });
-  const actions = new OperatorActions({
-    context,
-    platform,
     config,
     membership,
     pools,
+    callers,
+    operators,
     duties,
-    router,
-    learner,
-    decisions,
-    meter,
-    statsWriter,
-  });
-  const operators = new OperatorServer({ context, actions });
-  const handlers: ForwardHandlers = {
-    run: (work) => runInOwnPool(work),
-    ticket: (work) => keyed.runTicket(work),
-    claim: (work) => keyed.answerClaim(work),
-    load: (service) => pools.load(service),
-    regionOf: (sender) => membership.table.get(sender)?.region ?? "",
-  };
-
-  function runInOwnPool(work: Work) {
-    const pool = pools.pool(work.info.service);
-    if (pool === undefined) throw new SteeringError(ResultCode.notOwner);
-    if (crashes.isHeld(work.info.fingerprint, clock.nowMillis())) {
-      throw new SteeringError(ResultCode.heldBack);
-    }
-    return pool.run(work);
-  }
-
+    actions,
+  } = parts;
+  const { clock } = context;
   const peers = await servePeers(settings.listen.peers, {
     secret: settings.credentials.peerSecret,
     handlers: {
       exchange: (stream) => membership.mesh.accept(stream),
-      forward: (stream) => {
-        serveForward(stream, {
-          context,
-          pacer,
-          handlers,
-          wholeBytes: wholeBodyBytes,
-        });
-      },
+      forward: (stream) => parts.serveForwarded(stream),
       fetchObject: (hash) => Promise.resolve(config.object(hash)),
     },
   });
@@ -323,12 +73,15 @@
   await callers.listen(settings.listen.callers);
   await operators.listen(settings.listen.operators);
   duties.start();
-  statsWriter.start();
+  parts.statsWriter.start();
   let lastCutOff = true;
   const housekeeping = setInterval(() => tidy(), housekeepingMillis);
-  const serving = setInterval(() => serveWhenReady(), 20);
+  const serving = setInterval(() => serveWhenReady(), readyPollMillis);
   serveWhenReady();
-  log.info("started", { incarnation, callers: settings.listen.callers });
+  log.info("started", {
+    incarnation: parts.incarnation,
+    callers: settings.listen.callers,
+  });
 
   /** An instance serves nothing until it holds a revision. */
   function serveWhenReady() {
@@ -341,8 +94,8 @@
   }
 
   function tidy() {
-    executions.expire(clock.nowMillis());
-    forward.closeIdle();
+    parts.executions.expire(clock.nowMillis());
+    parts.forward.closeIdle();
     const cutOff = config.isCutOff();
     if (cutOff === lastCutOff) return;
     lastCutOff = cutOff;
@@ -378,7 +131,7 @@
 
   async function finishWork() {
     await callers.finish();
-    while (pools.inFlight + executions.running > 0) {
+    while (pools.inFlight + parts.executions.running > 0) {
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
   }
@@ -392,7 +145,7 @@
     peers.close();
     callers.close();
     operators.close();
-    forward.close();
+    parts.forward.close();
   }
 
   return {
@@ -410,15 +163,19 @@
         callers.inFlight === 0 && pools.inFlight === 0,
         () => `callers=${callers.inFlight} pools=${pools.inFlight}`,
       );
-      await outcomes.close({ instance: settings.instance.id, incarnation }, {
+      await parts.claimWriter.drain(closeWaitMillis);
+      await parts.outcomes.close({
+        instance: settings.instance.id,
+        incarnation: parts.incarnation,
+      }, {
         waitMillis: closeWaitMillis,
       });
       await duties.stop();
-      await statsWriter.stop();
+      await parts.statsWriter.stop();
       membership.announce({ state: InstanceState.dead, pools: [] });
       await new Promise((resolve) => setTimeout(resolve, 50));
       close();
-      await platform.close();
+      await parts.platform.close();
       await metrics.close();
       log.info("stopped", {});
       log.flush();
@@ -426,21 +183,7 @@
     kill() {
       duties.halt();
       close();
-      platform.close();
+      parts.platform.close();
     },
   };
 }
-
-function createWriter(platform: Platform, windowMillis: number): GroupWriter {
-  return new GroupWriter({
-    table: platform.table,
-    windowMillis,
-    maxRows: groupRows,
-    maxInFlight: groupsInFlight,
-  });
-}
-
-function requireState(state: SteeringState | undefined): SteeringState {
-  if (state === undefined) throw new SteeringError(ResultCode.noConfiguration);
-  return state;
-}
--- a/packages/idempotency/src/group_writer.ts
+++ b/packages/idempotency/src/group_writer.ts
@@ -19,6 +19,8 @@
   maxInFlight: number;
 }
 
+const drainPollMillis = 10;
+
 interface Pending {
   write: RowWrite;
   resolve: (result: RowResult) => void;
@@ -45,6 +47,16 @@
     return this.#pending.length;
   }
 
+  /** Waits until every row has its answer, but no longer than `waitMillis`. */
+  async drain(waitMillis: number): Promise<void> {
+    const until = performance.now() + waitMillis;
+    while (
+      this.#pending.length + this.#inFlight > 0 && performance.now() < until
+    ) {
+      await new Promise((resolve) => setTimeout(resolve, drainPollMillis));
+    }
+  }
+
   submit(write: RowWrite): Promise<RowResult> {
     return new Promise((resolve) => {
       this.#pending.push({ write, resolve });
--- a/tools/src/matrix/step_kinds.ts
+++ b/tools/src/matrix/step_kinds.ts
@@ -20,7 +20,7 @@
 export type StepKind = (scene: StepScene) => Promise<void>;
 
 const callTimeoutMillis = 5000;
-/** Forty archive pulls of 400 ms share six bulk slots. */
+/** Twenty archive pulls of 400 ms share a few bulk slots. */
 const burstTimeoutMillis = 20_000;
 const waitMillis = 12_000;
 const drainGraceMillis = 2000;
@@ -260,7 +260,7 @@
   "look-up": lookUp,
   "forward": (scene) => runCalls(scene, many(9, (i) => read(1 + i % 3))),
   "admission": (scene) =>
-    runCalls(scene, many(40, () => read(2, "/archive", burstTimeoutMillis)), {
+    runCalls(scene, many(20, () => read(2, "/archive", burstTimeoutMillis)), {
       allowNotRun: true,
     }),
   "ticket": (scene) => runCalls(scene, many(6, () => charge("ticket"))),
