--- a/tools/src/bench/control_bench.ts
+++ b/tools/src/bench/control_bench.ts
@@ -357,15 +357,20 @@
   isRelay: boolean,
 ): Projection {
   const farCount = isRelay ? designSize.dataCentres - 1 : 0;
+  // A slope below zero is noise: more peers never cost less.
+  const slope = (series: Series, figure: Figure) =>
+    Math.max(0, fit(series, figure).slope);
   const at = (figure: Figure) =>
-    fit(mesh, figure).slope * meshPeers + fit(far, figure).slope * farCount;
+    slope(mesh, figure) * meshPeers + slope(far, figure) * farCount;
   const perBlock = fitLine(
     blocks.map((b) => ({ x: b.count, y: b.residentMegabytes })),
   );
   const changesPerSecond = designSize.changesPerDay / secondsPerDay;
   const change = blocks[blocks.length - 1].changeCpuMillis / 1000;
   return {
-    cpuShare: at("cpuShare") + changesPerSecond * change,
+    // The cost of an entry alone counts too: polls, probes and timers.
+    cpuShare: Math.max(0, fit(mesh, "cpuShare").intercept) + at("cpuShare") +
+      changesPerSecond * change,
     memoryMegabytes: at("residentMegabytes") +
       perBlock.slope * designSize.blocks,
     bytesPerSecond: at("bytesPerSecond"),
