Smaller chunks of the block table, fetched eight at a time

Cause: 380,000 blocks stood in 24 chunks of 330 kB, so one changed block moved 330 kB to each node and loading left much garbage. Change: 8192 possible chunks in place of 1024 (186 for this table, 40 kB each), fetched side by side. Measured, one entry restarted with all blocks: resident 186 and 193 MB before, 176 and 174 MB after; 3.6 and 3.8 s to serve before, 2.8 and 3.2 s after. Conclusion: kept; most of the memory is heap that loading leaves behind.

--- a/packages/entry/src/config_task.ts
+++ b/packages/entry/src/config_task.ts
@@ -56,6 +56,8 @@
   peer: string;
 }
 
+/** Chunks of the block table that are fetched side by side. */
+const chunksAtOnce = 8;
 /** After a failed poll the next waits at most this many poll intervals. */
 const maxBackoff = 8;
 
@@ -267,16 +269,15 @@
       return buildBlockIndex(body.fleet.clientBlocks);
     }
     const next = new Map<string, { hash: string; table: BlockTable }>();
-    for (const name of body.blockChunks) {
-      const [bucket, hash] = name.split(":");
-      const known = this.#chunks.get(bucket);
-      if (known?.hash === hash) {
-        next.set(bucket, known);
-        continue;
+    for (let i = 0; i < body.blockChunks.length; i += chunksAtOnce) {
+      const names = body.blockChunks.slice(i, i + chunksAtOnce);
+      const loaded = await Promise.all(
+        names.map((name) => this.#loadChunk(name, fromPeer)),
+      );
+      for (const chunk of loaded) {
+        if (chunk === undefined) return undefined;
+        next.set(chunk.bucket, chunk);
       }
-      const content = await this.#objects.fetch(hash, fromPeer);
-      if (content === undefined) return undefined;
-      next.set(bucket, { hash, table: buildBlockTable(decodeChunk(content)) });
     }
     this.#chunks = next;
     return new BlockIndex(
@@ -284,6 +285,18 @@
     );
   }
 
+  async #loadChunk(
+    name: string,
+    fromPeer: PeerFetch | undefined,
+  ): Promise<{ bucket: string; hash: string; table: BlockTable } | undefined> {
+    const [bucket, hash] = name.split(":");
+    const known = this.#chunks.get(bucket);
+    if (known?.hash === hash) return { bucket, ...known };
+    const content = await this.#objects.fetch(hash, fromPeer);
+    if (content === undefined) return undefined;
+    return { bucket, hash, table: buildBlockTable(decodeChunk(content)) };
+  }
+
   #now(): number {
     return this.#options.context.clock.nowMillis();
   }
--- a/packages/locate/src/block_index.ts
+++ b/packages/locate/src/block_index.ts
@@ -6,7 +6,7 @@
 import type { ClientBlock } from "@bamboolane/types/fleet";
 import { type BlockTable, buildBlockTable, parseCidr } from "./block_table.ts";
 
-const chunkBits = 10;
+const chunkBits = 13;
 const chunkSize = 2 ** (32 - chunkBits);
 /** Name of the chunk for ranges wider than a chunk. */
 const wideChunk = "w";
