--- a/tools/src/bench/control_bench.ts
+++ b/tools/src/bench/control_bench.ts
@@ -362,17 +362,16 @@
     Math.max(0, fit(series, figure).slope);
   const at = (figure: Figure) =>
     slope(mesh, figure) * meshPeers + slope(far, figure) * farCount;
-  const perBlock = fitLine(
-    blocks.map((b) => ({ x: b.count, y: b.residentMegabytes })),
-  );
   const changesPerSecond = designSize.changesPerDay / secondsPerDay;
   const change = blocks[blocks.length - 1].changeCpuMillis / 1000;
   return {
     // The cost of an entry alone counts too: polls, probes and timers.
     cpuShare: Math.max(0, fit(mesh, "cpuShare").intercept) + at("cpuShare") +
       changesPerSecond * change,
+    // Heap that loading leaves behind counts, so the whole table is compared with none.
     memoryMegabytes: at("residentMegabytes") +
-      perBlock.slope * designSize.blocks,
+      blocks[blocks.length - 1].residentMegabytes -
+      mesh.points[0].sample.residentMegabytes,
     bytesPerSecond: at("bytesPerSecond"),
   };
 }
