--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -126,7 +126,7 @@
         return this.#options.lookups.handle(url, response);
       }
       if (url === "/v1/health") {
-        return writeJson(response, 200, { state: "serving" });
+        return this.#answerHealth(response);
       }
       if (url === "/v1/tickets" && request.method === "POST") {
         this.#issueTickets(request, response);
@@ -145,6 +145,11 @@
     }
   }
 
+  #answerHealth(response: ServerResponse): void {
+    const state = this.#options.isLeaving() ? "leaving" : "serving";
+    writeJson(response, 200, { state });
+  }
+
   #refuse(response: ServerResponse, error: unknown): void {
     const failure = toSteeringError(error, ResultCode.internal);
     const entry = this.#options.context.settings.instance.id;
--- a/packages/errors/src/result_code.ts
+++ b/packages/errors/src/result_code.ts
@@ -165,15 +165,6 @@
       "Send it again after a pause.",
     ),
   ),
-  deadlineBeforeRun: define(
-    205,
-    "deadline-before-run",
-    notRun(
-      504,
-      "The deadline passed before the request ran.",
-      "Allow more time.",
-    ),
-  ),
   capReached: define(
     206,
     "cap-reached",
@@ -201,15 +192,6 @@
       retryElsewhere,
     ),
   ),
-  linkBudget: define(
-    209,
-    "link-budget",
-    notRun(
-      503,
-      "The link between the regions has no room for bulk.",
-      "Send it again after a pause.",
-    ),
-  ),
   targetRefused: define(
     210,
     "target-refused",
