Heartbeat streams keep their own state

Change: BeatLink holds what one stream has sent and heard and dates proofs; two accessors that nothing used are gone.

--- a/packages/membership/src/heartbeat_mesh.ts
+++ b/packages/membership/src/heartbeat_mesh.ts
@@ -8,24 +8,12 @@
 import type { CrashSuspect } from "@bamboolane/types/instance";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Heartbeat } from "@bamboolane/wire/generated/bamboolane/v1/peer";
-import {
-  connectPeer,
-  heartbeatBytes,
-  type PeerConnection,
-} from "@bamboolane/wire/peer_channel";
+import { connectPeer, heartbeatBytes } from "@bamboolane/wire/peer_channel";
+import { BeatLink, type BeatStream } from "./beat_link.ts";
 import type { MemberTable, StreamScope } from "./member_table.ts";
 import { planLinks, type PlannedLink } from "./plan_links.ts";
 import { fromWireRecord, toWireRecord } from "./record_codec.ts";
 
-/** A stream of heartbeats, whichever side opened it. */
-export interface BeatStream {
-  write(beat: Heartbeat, done: () => void): unknown;
-  end(): void;
-  on(event: "data", listener: (beat: Heartbeat) => void): unknown;
-  on(event: "end" | "close", listener: () => void): unknown;
-  on(event: "error", listener: (error: Error) => void): unknown;
-}
-
 /** Proof of the newest revision, as carried by heartbeats. */
 export interface BeatProof {
   revision: number;
@@ -74,28 +62,12 @@
 const contactMillis = 2000;
 /** Beats after which refused peers are tried again. */
 const replanBeats = 20;
-/** Unanswered beats whose times are remembered for each stream. */
-const maxRemembered = 64;
-
-interface Link {
-  peer: string;
-  scope: StreamScope;
-  stream: BeatStream;
-  connection: PeerConnection | undefined;
-  sentChange: number;
-  sentSuspects: number;
-  sequence: number;
-  lastReceived: number;
-  sentAtMillis: Map<number, number>;
-  heardAtMillis: number;
-  wasHeard: boolean;
-}
 
 /** Keeps heartbeats going with the planned peers. */
 export class HeartbeatMesh {
   readonly #options: HeartbeatMeshOptions;
-  readonly #opened = new Map<string, Link>();
-  readonly #accepted = new Map<string, Link>();
+  readonly #opened = new Map<string, BeatLink>();
+  readonly #accepted = new Map<string, BeatLink>();
   readonly #refusals = new Map<
     string,
     { count: number; notBeforeMillis: number }
@@ -127,7 +99,7 @@
   stop(): void {
     clearInterval(this.#timer);
     for (const link of [...this.#opened.values(), ...this.#accepted.values()]) {
-      this.#drop(link);
+      link.close();
     }
     this.#opened.clear();
     this.#accepted.clear();
@@ -152,7 +124,7 @@
 
   /** Serves a stream that a peer opened. */
   accept(stream: BeatStream): void {
-    let link: Link | undefined;
+    let link: BeatLink | undefined;
     stream.on("data", (beat) => {
       if (beat.contact) return this.#answerContact(stream, beat);
       link ??= this.#addAccepted(beat.sender, stream);
@@ -197,12 +169,8 @@
     );
   }
 
-  #contactLink(stream: BeatStream): Link {
-    return this.#createLink("", {
-      stream,
-      scope: { kind: "contact" },
-      connection: undefined,
-    });
+  #contactLink(stream: BeatStream): BeatLink {
+    return new BeatLink({ peer: "", stream, scope: { kind: "contact" } });
   }
 
   #mergeRecords(beat: Heartbeat): void {
@@ -215,48 +183,17 @@
     if (changed) this.#options.listener.onChange();
   }
 
-  /** When the peer was last heard, on this instance's clock. */
-  heardAtMillis(peer: string): number | undefined {
-    return this.#heard.get(peer);
-  }
-
-  /** Data centres to which this instance, as a relay, has no live stream. */
-  get streams(): number {
-    return this.#opened.size + this.#accepted.size;
-  }
-
-  #addAccepted(peer: string, stream: BeatStream): Link {
+  #addAccepted(peer: string, stream: BeatStream): BeatLink {
     const known = this.#options.table.get(peer);
     const own = this.#options.table.self.dataCentre;
     const scope: StreamScope = known === undefined || known.dataCentre === own
       ? { kind: "mesh" }
       : { kind: "relay", dataCentre: known.dataCentre };
-    const link = this.#createLink(peer, {
-      stream,
-      scope,
-      connection: undefined,
-    });
+    const link = new BeatLink({ peer, stream, scope });
     this.#accepted.set(peer, link);
     return link;
   }
 
-  #createLink(
-    peer: string,
-    rest: Pick<Link, "stream" | "scope" | "connection">,
-  ): Link {
-    return {
-      ...rest,
-      peer,
-      sentChange: 0,
-      sentSuspects: 0,
-      sequence: 0,
-      lastReceived: 0,
-      sentAtMillis: new Map(),
-      heardAtMillis: this.#options.now(),
-      wasHeard: false,
-    };
-  }
-
   #tick(): void {
     this.#beat++;
     const now = this.#options.now();
@@ -315,7 +252,7 @@
     for (const [peer, link] of this.#opened) {
       if (wanted.has(peer)) continue;
       this.#opened.delete(peer);
-      this.#drop(link);
+      link.close();
     }
   }
 
@@ -333,7 +270,8 @@
   #open(planned: PlannedLink): void {
     const connection = connectPeer(planned.address, this.#options.secret);
     const stream = connection.client.exchange(connection.metadata);
-    const link = this.#createLink(planned.id, {
+    const link = new BeatLink({
+      peer: planned.id,
       stream,
       scope: planned.scope,
       connection,
@@ -345,10 +283,10 @@
     this.#send(link);
   }
 
-  #onBroken(link: Link): void {
+  #onBroken(link: BeatLink): void {
     if (this.#opened.get(link.peer) !== link) return;
     this.#opened.delete(link.peer);
-    this.#drop(link);
+    link.close();
     const now = this.#options.now();
     const count = link.wasHeard
       ? 0
@@ -370,11 +308,6 @@
     return (this.#refusals.get(peer)?.count ?? 0) >= refusalsUntilDead;
   }
 
-  #drop(link: Link): void {
-    link.stream.end();
-    link.connection?.close();
-  }
-
   #findSilent(now: number): void {
     for (const planned of this.#plan) {
       if (planned.scope.kind !== "mesh") continue;
@@ -407,30 +340,25 @@
     }
   }
 
-  #send(link: Link): void {
+  #send(link: BeatLink): void {
     const { table, listener } = this.#options;
     const beat = this.#assembleBeat(link);
     link.sentChange = table.change;
     link.sentSuspects = this.#suspectsVersion;
-    link.sentAtMillis.set(link.sequence, this.#options.now());
-    if (link.sentAtMillis.size > maxRemembered) {
-      link.sentAtMillis.delete(link.sequence - maxRemembered);
-    }
     link.stream.write(
       beat,
       () => listener.onTraffic("sent", heartbeatBytes(beat)),
     );
   }
 
-  #assembleBeat(link: Link): Heartbeat {
+  #assembleBeat(link: BeatLink): Heartbeat {
     const { table } = this.#options;
     const proof = this.#options.proof();
     const finite = Number.isFinite(proof.freshAgeMillis);
-    link.sequence++;
     return {
       sender: table.self.id,
       incarnation: table.self.incarnation,
-      sequence: link.sequence,
+      sequence: link.nextSequence(this.#options.now()),
       echoSequence: link.lastReceived,
       records: table.changesSince(link.sentChange, link.scope).map(
         toWireRecord,
@@ -446,12 +374,10 @@
     };
   }
 
-  #receive(link: Link, beat: Heartbeat): void {
+  #receive(link: BeatLink, beat: Heartbeat): void {
     const { listener } = this.#options;
     const now = this.#options.now();
-    link.lastReceived = beat.sequence;
-    link.heardAtMillis = now;
-    link.wasHeard = true;
+    link.noteReceived(beat);
     this.#heard.set(link.peer, now);
     this.#refusals.delete(link.peer);
     if (link.scope.kind === "relay") {
@@ -464,23 +390,18 @@
     this.#refineScope(link);
   }
 
-  /** The proof dates from before the beat that the peer had seen by then. */
-  #readProof(link: Link, beat: Heartbeat): void {
+  #readProof(link: BeatLink, beat: Heartbeat): void {
     if (beat.revision === 0) return;
-    const sentAt = link.sentAtMillis.get(beat.echoSequence);
-    const proven = sentAt !== undefined && beat.freshAgeMillis >= 0
-      ? sentAt - beat.freshAgeMillis
-      : -Infinity;
     this.#options.listener.onProof({
       revision: beat.revision,
       hash: beat.configHash,
-      provenAtMillis: proven,
+      provenAtMillis: link.provenAtMillis(beat),
       peer: link.peer,
     });
   }
 
   /** An accepted stream learns where its peer is from the first record. */
-  #refineScope(link: Link): void {
+  #refineScope(link: BeatLink): void {
     const known: InstanceRecord | undefined = this.#options.table.get(
       link.peer,
     );
