--- /dev/null
+++ b/packages/gateway/src/directory_server.ts
@@ -0,0 +1,88 @@
+/**
+ * Small HTTP servers beside the callers' one: the directory of entries, the
+ * readiness check, and the state for entries that can't read the store.
+ */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { nameEntries } from "@bamboolane/steering/name_entries";
+import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import type { CallerDialect } from "./caller_dialect.ts";
+import type { GatewayState } from "./gateway_state.ts";
+
+/** Where other entries read this one's state. */
+export const statePath = "/v1/state";
+
+/** Options of {@link serveDirectory}. */
+export interface DirectoryOptions {
+  dialect: CallerDialect;
+  state: GatewayState;
+  ttlMillis: number;
+  isReady: () => boolean;
+  /** Entries that callers may use. */
+  liveEntries: () => EntryRecord[];
+}
+
+function writeJson(
+  response: ServerResponse,
+  status: number,
+  body: string,
+): void {
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+function listenOn(server: Server, address: string): Promise<Server> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(port), host, () => resolve(server));
+  });
+}
+
+/** Starts the directory of entries. */
+export function serveDirectory(
+  address: string,
+  options: DirectoryOptions,
+): Promise<Server> {
+  const { dialect } = options;
+  const server = createServer((request, response) => {
+    const [path, query] = (request.url ?? "/").split("?", 2);
+    if (path !== dialect.directoryPath) return writeJson(response, 404, "{}");
+    const place = dialect.readPlace(new URLSearchParams(query));
+    const addresses = nameEntries(place, options.liveEntries());
+    if (addresses.length === 0) return writeJson(response, 503, "{}");
+    writeJson(
+      response,
+      200,
+      dialect.formatEntries(addresses, options.ttlMillis),
+    );
+  });
+  return listenOn(server, address);
+}
+
+/** Starts the readiness check. */
+export function serveReadiness(
+  address: string,
+  options: Pick<DirectoryOptions, "dialect" | "isReady">,
+): Promise<Server> {
+  const server = createServer((request, response) => {
+    const known = request.url === options.dialect.readinessPath;
+    const status = !known ? 404 : options.isReady() ? 200 : 503;
+    writeJson(response, status, "{}");
+  });
+  return listenOn(server, address);
+}
+
+/** Starts the server that hands this entry's state to others. */
+export function serveState(
+  address: string,
+  state: GatewayState,
+): Promise<Server> {
+  const server = createServer((request, response) => {
+    if (request.url !== statePath) return writeJson(response, 404, "{}");
+    writeJson(response, 200, JSON.stringify({ rows: state.rows() }));
+  });
+  return listenOn(server, address);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,33 @@
+/**
+ * Settings of one gateway process.
+ */
+import type { DataCentres } from "@bamboolane/steering/steering_config";
+
+/** All settings of a gateway. */
+export interface GatewaySettings {
+  instance: { id: string; dataCentre: string; region: string };
+  listen: {
+    /** Callers' requests. */
+    callers: string;
+    /** Readiness checks. */
+    readiness: string;
+    /** Look-ups of entries. */
+    directory: string;
+    /** State for other entries. */
+    state: string;
+    /** Datagrams between entries. */
+    peers: string;
+    /** Metrics; empty for none. */
+    metrics: string;
+  };
+  storeAddress: string;
+  /** State addresses of entries to ask while the store can't be read. */
+  seeds: readonly string[];
+  dataCentres: DataCentres;
+  /** How long a stopping process may take until it is killed. */
+  graceMillis: number;
+  /** Longest time that a directory answer may be kept. */
+  lookupTtlMillis: number;
+  retryBudget: { ratio: number; allowance: number; windowMillis: number };
+  log: { level: "debug" | "info" | "warn" | "error" };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_state.ts
@@ -0,0 +1,267 @@
+/**
+ * Everything that one entry believes, and the rules by which rows change it.
+ * The request path reads it; followers and peers write it.
+ */
+import { CrashWatch } from "@bamboolane/route/crash_watch";
+import type { EventLog } from "@bamboolane/logger/create_logger";
+import { RouteIndex } from "@bamboolane/steering/match_route";
+import { MemberView } from "@bamboolane/steering/member_view";
+import { RetryBudget } from "@bamboolane/steering/retry_budget";
+import { ServiceEstimate } from "@bamboolane/steering/service_estimate";
+import { SplitPicker } from "@bamboolane/steering/split_picker";
+import type {
+  StateRow,
+  SteeringConfig,
+  SteeringRoute,
+  SteeringService,
+} from "@bamboolane/steering/steering_config";
+import type { TargetBelief } from "@bamboolane/steering/target_belief";
+import { TargetBook } from "@bamboolane/steering/target_book";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { StateTable } from "./state_store.ts";
+
+/** Requests remembered after a crash; each takes some hundred bytes. */
+const maxSuspects = 1000;
+/** A request that crashed targets is held back this long after the last crash. */
+const suspectMemoryMillis = 60_000;
+/** Cold time of targets whose service names none. */
+const defaultWarmupMillis = 3000;
+
+/** Beliefs of one entry. */
+export class GatewayState {
+  readonly targets = new TargetBook();
+  readonly members = new MemberView();
+  readonly crashes = new CrashWatch({
+    maxFingerprints: maxSuspects,
+    memoryMillis: suspectMemoryMillis,
+  });
+  readonly #settings: GatewaySettings;
+  readonly #log: EventLog;
+  readonly #evacuated = new Map<string, { version: number; active: boolean }>();
+  readonly #rows = new Map<string, StateRow>();
+  #config: SteeringConfig | undefined;
+  #routes = new RouteIndex([]);
+  #services = new Map<string, SteeringService>();
+  #splits = new Map<string, SplitPicker>();
+  readonly #estimates = new Map<string, ServiceEstimate>();
+  readonly #budgets = new Map<string, RetryBudget>();
+  /** When the store was last seen to come back after an outage. */
+  storeBackAtMillis = -Infinity;
+  /** Called after a change that may make room. */
+  onChange: () => void = () => {};
+
+  constructor(settings: GatewaySettings, log: EventLog) {
+    this.#settings = settings;
+    this.#log = log;
+  }
+
+  get config(): SteeringConfig | undefined {
+    return this.#config;
+  }
+
+  /** True once requests can be served. */
+  get isComplete(): boolean {
+    return this.#config !== undefined && this.targets.isComplete;
+  }
+
+  /** All rows, for entries that can't read the store. */
+  rows(): StateRow[] {
+    return [...this.#rows.values()];
+  }
+
+  /** Applies rows in the order of their versions. */
+  apply(rows: readonly StateRow[], nowMillis: number): void {
+    const ordered = [...rows].sort((a, b) => a.version - b.version);
+    for (const row of ordered) this.#applyRow(row, nowMillis);
+    this.onChange();
+  }
+
+  /** Applies a whole table: what it doesn't list is gone. */
+  applyWhole(
+    table: StateTable,
+    rows: readonly StateRow[],
+    options: { version: number; nowMillis: number },
+  ): void {
+    this.apply(rows, options.nowMillis);
+    if (table === StateTable.targets) this.#retainTargets(rows, options);
+    if (table === StateTable.operator) this.#retainEvacuations(rows, options);
+  }
+
+  isEvacuated(dataCentre: string): boolean {
+    return this.#evacuated.get(dataCentre)?.active ?? false;
+  }
+
+  matchRoute(host: string, path: string): SteeringRoute | undefined {
+    return this.#routes.match(host, path);
+  }
+
+  /** Deals the next request of a route to one of its services. */
+  pickService(route: SteeringRoute): string | undefined {
+    if (route.parts.length === 1) return route.parts[0].service;
+    return this.#splits.get(route.name)?.next();
+  }
+
+  service(name: string): SteeringService | undefined {
+    return this.#services.get(name);
+  }
+
+  warmupMillis(service: string): number {
+    return this.#services.get(service)?.warmupMillis ?? defaultWarmupMillis;
+  }
+
+  estimate(service: string, objectiveMillis: number): ServiceEstimate {
+    let estimate = this.#estimates.get(service);
+    if (estimate === undefined) {
+      estimate = new ServiceEstimate({ objectiveMillis });
+      this.#estimates.set(service, estimate);
+    }
+    return estimate;
+  }
+
+  budget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget(this.#settings.retryBudget);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  region(target: TargetBelief): string {
+    return this.#settings.dataCentres[target.record.dataCentre] ?? "";
+  }
+
+  /** Rate at which this entry may send to a cold target; 0 for none. */
+  coldPerSecond(target: TargetBelief): number {
+    const region = this.region(target);
+    if (region !== this.#settings.instance.region) return 0;
+    const service = this.#services.get(target.record.service);
+    return (service?.warmupPerSecond ?? 0) / this.members.countInRegion(region);
+  }
+
+  /** Drops what lapsed for good. */
+  tidy(nowMillis: number): void {
+    for (const id of this.targets.expire(nowMillis)) {
+      this.#log.info("target_gone", { target: id, cause: "lapsed" });
+      this.#rows.delete(`target/${id}`);
+    }
+  }
+
+  #applyRow(row: StateRow, nowMillis: number): void {
+    switch (row.kind) {
+      case "config":
+        return this.#applyConfig(row);
+      case "evacuation":
+        return this.#applyEvacuation(row, nowMillis);
+      case "target":
+        return this.#applyTarget(row, nowMillis);
+      case "entry":
+        return this.members.apply(row.id, row.record, row.version);
+    }
+  }
+
+  #applyConfig(row: StateRow & { kind: "config" }): void {
+    const { config } = row;
+    if (this.#config && config.revision <= this.#config.revision) return;
+    const from = this.#config?.revision ?? 0;
+    this.#config = config;
+    this.#routes = new RouteIndex(config.routes);
+    this.#services = new Map(config.services.map((s) => [s.name, s]));
+    this.#splits = new Map(
+      config.routes.map((route) => [route.name, new SplitPicker(route.parts)]),
+    );
+    this.#rows.set("config", row);
+    this.#log.info("config_applied", {
+      revision: config.revision,
+      from,
+      version: row.version,
+      routes: config.routes.length,
+    });
+  }
+
+  #applyEvacuation(
+    row: StateRow & { kind: "evacuation" },
+    nowMillis: number,
+  ): void {
+    const known = this.#evacuated.get(row.dataCentre);
+    if (known && known.version >= row.version) return;
+    this.#evacuated.set(row.dataCentre, {
+      version: row.version,
+      active: row.active,
+    });
+    this.#rows.set(`evacuation/${row.dataCentre}`, row);
+    if ((known?.active ?? false) === row.active) return;
+    this.#log.info(row.active ? "evacuated" : "evacuation_over", {
+      dataCentre: row.dataCentre,
+      version: row.version,
+    });
+    if (!row.active) this.#warmUp(row.dataCentre, nowMillis);
+  }
+
+  /** Targets without work lose their caches while a data centre is evacuated. */
+  #warmUp(dataCentre: string, nowMillis: number): void {
+    for (const target of this.targets.all()) {
+      if (target.record.dataCentre !== dataCentre) continue;
+      const warmup = this.warmupMillis(target.record.service);
+      target.markCold(warmup, nowMillis);
+    }
+  }
+
+  #applyTarget(row: StateRow & { kind: "target" }, nowMillis: number): void {
+    const change = this.targets.apply(row, {
+      nowMillis,
+      storeBackAtMillis: this.storeBackAtMillis,
+    });
+    if (row.record) this.#rows.set(`target/${row.id}`, row);
+    else if (change === "removed") this.#rows.delete(`target/${row.id}`);
+    if (change === "none") return;
+    this.#log.info(`target_${change}`, {
+      target: row.id,
+      version: row.version,
+      service: row.record?.service,
+      dataCentre: row.record?.dataCentre,
+      draining: row.record?.draining,
+      warmupLeftMillis: row.record?.warmupLeftMillis,
+    });
+  }
+
+  #retainTargets(
+    rows: readonly StateRow[],
+    options: { version: number; nowMillis: number },
+  ): void {
+    const ids = new Set<string>();
+    for (const row of rows) {
+      if (row.kind === "target" && row.record) ids.add(row.id);
+    }
+    const missing = this.targets.retain(ids, {
+      ...options,
+      storeBackAtMillis: this.storeBackAtMillis,
+    });
+    for (const id of missing) {
+      this.#log.info("target_missing", {
+        target: id,
+        version: options.version,
+      });
+    }
+  }
+
+  #retainEvacuations(
+    rows: readonly StateRow[],
+    options: { version: number; nowMillis: number },
+  ): void {
+    const listed = new Set<string>();
+    for (const row of rows) {
+      if (row.kind === "evacuation" && row.active) listed.add(row.dataCentre);
+    }
+    for (const [dataCentre, known] of this.#evacuated) {
+      if (!known.active || listed.has(dataCentre)) continue;
+      if (known.version > options.version) continue;
+      this.#applyEvacuation({
+        kind: "evacuation",
+        version: options.version + 0.5,
+        dataCentre,
+        active: false,
+      }, options.nowMillis);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/read_request.ts
@@ -0,0 +1,100 @@
+/**
+ * Turns an HTTP request into one that the runner takes, or into the reason
+ * why not.
+ */
+import type { IncomingMessage } from "node:http";
+import { hash } from "node:crypto";
+import type {
+  CallerLimits,
+  SteeringRoute,
+} from "@bamboolane/steering/steering_config";
+import type { CallerDialect } from "./caller_dialect.ts";
+import { endToEndHeaders } from "./send_attempt.ts";
+
+/** What the headers of a request say. */
+export interface RequestHead {
+  id: string;
+  headers: string[];
+  object: string | undefined;
+  /** How long the caller waits; Infinity where it says nothing. */
+  deadlineMillis: number;
+}
+
+/** Size of the request line's and the headers' bytes. */
+export function headerBytes(request: IncomingMessage): number {
+  let size = (request.url?.length ?? 0) + (request.method?.length ?? 0) + 12;
+  for (const text of request.rawHeaders) size += text.length + 2;
+  return size;
+}
+
+/** Reads the headers of a request. */
+export function readHead(
+  request: IncomingMessage,
+  route: SteeringRoute,
+  dialect: CallerDialect,
+): RequestHead {
+  const { headers } = request;
+  const deadline = Number(headers[dialect.deadlineHeader]);
+  return {
+    id: String(headers[dialect.requestIdHeader] ?? ""),
+    headers: endToEndHeaders(
+      request.rawHeaders,
+      new Set([dialect.deadlineHeader, dialect.expectTargetHeader]),
+    ),
+    object: route.affinity ? dialect.readObject(headers.cookie) : undefined,
+    deadlineMillis: Number.isFinite(deadline) && deadline > 0
+      ? deadline
+      : Infinity,
+  };
+}
+
+/** Identifies a request that comes again: same caller's object, path and body. */
+export function fingerprintOf(
+  request: IncomingMessage,
+  body: Buffer | undefined,
+): string {
+  const { method, url, headers } = request;
+  const text = `${method} ${headers.host} ${url} ${headers.cookie ?? ""} `;
+  const content = body ? hash("sha256", body, "hex") : "";
+  return hash("sha256", text + content, "hex").slice(0, 16);
+}
+
+/** Result of {@link readBody}. */
+export type BodyResult =
+  | { kind: "whole"; body: Buffer | undefined }
+  | { kind: "too-large" }
+  | { kind: "broken" };
+
+/** True where the request declares a body. */
+export function hasBody(request: IncomingMessage): boolean {
+  return request.headers["transfer-encoding"] !== undefined ||
+    Number(request.headers["content-length"] ?? 0) > 0;
+}
+
+/** Reads a body whole, so that it can be sent again. */
+export function readBody(
+  request: IncomingMessage,
+  limits: CallerLimits,
+): Promise<BodyResult> {
+  if (!hasBody(request)) {
+    return Promise.resolve({ kind: "whole", body: undefined });
+  }
+  if (Number(request.headers["content-length"] ?? 0) > limits.bodyBytes) {
+    return Promise.resolve({ kind: "too-large" });
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on("data", (chunk: Buffer) => {
+      size += chunk.byteLength;
+      if (size > limits.bodyBytes) return resolve({ kind: "too-large" });
+      chunks.push(chunk);
+    });
+    request.once(
+      "end",
+      () => resolve({ kind: "whole", body: Buffer.concat(chunks, size) }),
+    );
+    request.once("error", () => resolve({ kind: "broken" }));
+    request.once("close", () => resolve({ kind: "broken" }));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/start_gateway.ts
@@ -0,0 +1,208 @@
+/**
+ * Starts a gateway process's tasks and stops them gracefully.
+ */
+import process from "node:process";
+import type { Server } from "node:http";
+import type { EventLog } from "@bamboolane/logger/create_logger";
+import type { Metrics } from "@bamboolane/metrics/create_metrics";
+import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import type { CallerDialect } from "./caller_dialect.ts";
+import {
+  serveDirectory,
+  serveReadiness,
+  serveState,
+} from "./directory_server.ts";
+import { GatewayServer } from "./gateway_server.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { GatewayState } from "./gateway_state.ts";
+import { PeerTask } from "./peer_task.ts";
+import { RequestRunner } from "./request_runner.ts";
+import type { StateStore } from "./state_store.ts";
+import { StateTask } from "./state_task.ts";
+
+/** Options of {@link startGateway}. */
+export interface GatewayOptions {
+  settings: GatewaySettings;
+  dialect: CallerDialect;
+  store: StateStore;
+  log: EventLog;
+  metrics: Metrics;
+}
+
+/** A running gateway. */
+export interface RunningGateway {
+  state: GatewayState;
+  stop(): Promise<void>;
+}
+
+const tidyMillis = 500;
+const readyPollMillis = 20;
+/** Time for peers' first heartbeats before the directory answers with this entry alone. */
+const hearPeersMillis = 700;
+/** Pause between attempts to publish this entry's record. */
+const registerRetryMillis = 1000;
+/** How long a stopping entry takes new connections: callers keep look-ups that long. */
+const lameDuckMillis = 2500;
+/** Kept of the grace period for the last answers to leave. */
+const graceMarginMillis = 500;
+/** Directory answers are kept this long; short, so that a dead entry is left soon. */
+const lookupTtlMillis = 2000;
+
+/** Starts all tasks; resolves when the process listens. */
+export async function startGateway(
+  options: GatewayOptions,
+): Promise<RunningGateway> {
+  const { settings, dialect, store, log, metrics } = options;
+  const startedAtMillis = performance.now();
+  const self: EntryRecord = {
+    id: settings.instance.id,
+    incarnation: Date.now(),
+    dataCentre: settings.instance.dataCentre,
+    region: settings.instance.region,
+    callerAddress: settings.listen.callers,
+    peerAddress: settings.listen.peers,
+    stateAddress: settings.listen.state,
+  };
+  const state = new GatewayState(settings, log);
+  const runner = new RequestRunner({
+    settings,
+    dialect,
+    state,
+    log,
+    metrics,
+    random: Math.random,
+  });
+  const callers = new GatewayServer({ state, runner, dialect, log });
+  const stateTask = new StateTask({
+    store,
+    state,
+    seeds: settings.seeds,
+    self,
+    log,
+    random: Math.random,
+  });
+  const peers = new PeerTask({
+    self,
+    state,
+    log,
+    isServing: () => isReady(),
+    versions: () => stateTask.versions(),
+    inFlight: () => runner.inFlightByTarget(),
+    onAhead: (peer) => stateTask.noteAhead(peer),
+  });
+  let stopping = false;
+  stateTask.start();
+  await callers.listen(settings.listen.callers);
+  const servers: Server[] = await Promise.all([
+    serveReadiness(settings.listen.readiness, { dialect, isReady }),
+    serveDirectory(settings.listen.directory, {
+      dialect,
+      state,
+      ttlMillis: Math.min(lookupTtlMillis, settings.lookupTtlMillis),
+      isReady,
+      liveEntries,
+    }),
+    serveState(settings.listen.state, state),
+  ]);
+  await peers.listen();
+  log.info("started", {
+    callers: settings.listen.callers,
+    tookMillis: Math.round(startedAtMillis),
+  });
+  let applied = 0;
+  const tidy = setInterval(() => {
+    state.tidy(performance.now());
+    runner.tidy();
+    if (state.config && state.config.revision !== applied) {
+      applied = state.config.revision;
+      callers.applyLimits(state.config.limits);
+    }
+  }, tidyMillis);
+  const ready = setInterval(() => {
+    if (!isReady()) return;
+    clearInterval(ready);
+    log.info("ready", { tookMillis: Math.round(performance.now()) });
+    peers.announce();
+    register();
+  }, readyPollMillis);
+  registerGauges();
+
+  function isReady(): boolean {
+    return state.isComplete && !stopping;
+  }
+
+  function liveEntries(): EntryRecord[] {
+    const nowMillis = performance.now();
+    const live = state.members.serving(nowMillis)
+      .filter(({ record }) => record.id !== self.id)
+      .map(({ record }) => record);
+    if (isReady()) live.push(self);
+    const settled = nowMillis - startedAtMillis > hearPeersMillis;
+    return settled || live.length > 1 ? live : [];
+  }
+
+  async function register(): Promise<void> {
+    while (!stopping) {
+      try {
+        await store.register(self);
+        log.info("registered", { incarnation: self.incarnation });
+        return;
+      } catch (error) {
+        log.warn("register_failed", { error: (error as Error).message });
+        await pause(registerRetryMillis);
+      }
+    }
+  }
+
+  function registerGauges(): void {
+    metrics.gauge("bamboolane_revision", () => state.config?.revision ?? 0);
+    metrics.gauge("bamboolane_in_flight", () => runner.inFlight);
+    metrics.gauge(
+      "bamboolane_live_instances",
+      () => state.members.serving(performance.now()).length,
+    );
+    metrics.gauge("bamboolane_resident_bytes", () => process.memoryUsage.rss());
+  }
+
+  async function stop(): Promise<void> {
+    if (stopping) return;
+    stopping = true;
+    const stopAtMillis = performance.now();
+    log.info("stopping", { inFlight: runner.inFlight });
+    peers.announce();
+    callers.beginStop();
+    const unregistered = store.unregister(self.id).catch((error: Error) =>
+      log.warn("unregister_failed", { error: error.message })
+    );
+    const deadline = stopAtMillis + settings.graceMillis - graceMarginMillis;
+    await pause(Math.min(lameDuckMillis, settings.graceMillis / 2));
+    callers.closeListener();
+    while (callers.openAnswers > 0 && performance.now() < deadline) {
+      await pause(readyPollMillis);
+    }
+    await Promise.race([unregistered, pause(graceMarginMillis / 2)]);
+    log.info("stopped", {
+      openAnswers: callers.openAnswers,
+      tookMillis: Math.round(performance.now() - stopAtMillis),
+    });
+    closeAll();
+  }
+
+  function closeAll(): void {
+    clearInterval(tidy);
+    clearInterval(ready);
+    stateTask.stop();
+    peers.stop();
+    runner.stop();
+    callers.close();
+    for (const server of servers) server.close();
+    store.close();
+    log.flush();
+  }
+
+  return { state, stop };
+}
+
+function pause(millis: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, millis));
+}
--- /dev/null
+++ b/packages/steering/src/place_request.ts
@@ -0,0 +1,130 @@
+/**
+ * Chooses the target of one request by the time at which it is expected to
+ * finish there: the way, the wait for a slot, the work. Work is shorter on a
+ * target that served the object lately, so objects are spread by rendezvous
+ * hashing and leave their first target only where the expected finish says so
+ * (bounded load). This answers uneven demand: requests for one object stay
+ * together while there is room, and overflow to the next target when not.
+ */
+import { hashToShare } from "@bamboolane/route/rendezvous";
+import type { ServiceEstimate } from "./service_estimate.ts";
+import type { TargetBelief } from "./target_belief.ts";
+
+/** What the choice depends on besides the targets. */
+export interface PlacementQuestion {
+  /** Key of the object; undefined without affinity. */
+  object: string | undefined;
+  nowMillis: number;
+  estimate: ServiceEstimate;
+  /** Round trip to the target's data centre. Unit: milliseconds. */
+  roundTripMillis: (target: TargetBelief) => number;
+  /** False where the request may not run there at all. */
+  isAllowed: (target: TargetBelief) => boolean;
+  /** Rate that this entry may send to a cold target; 0 for none. */
+  coldPerSecond: (target: TargetBelief) => number;
+  /** Targets that were tried already. */
+  exclude: ReadonlySet<string>;
+}
+
+/** Where a request goes. */
+export type Placement =
+  | { kind: "send"; target: TargetBelief; finishMillis: number; warm: boolean }
+  /** All usable targets are full. */
+  | { kind: "full"; slots: number; finishMillis: number }
+  /** No target may take the request now. */
+  | { kind: "none"; usableAtMillis: number };
+
+/** Requests that may wait at a target beyond its slots: it is never idle between two. */
+const waitingPerTarget = 1;
+/** Preference for an object's first targets, in parts of the mean work time. */
+const affinityWeight = 0.3;
+/** Cost of a certain failure, in parts of the mean work time. */
+const failureWeight = 6;
+/** Failure rate below which a target counts as sound: single errors happen everywhere. */
+const soundFailureRate = 0.08;
+/** Usual work on a cold target, relative to a warm one. */
+const coldWorkFactor = 2;
+
+const hashes = new Map<string, number>();
+const maxHashes = 50_000;
+
+function rendezvousShare(object: string, target: string): number {
+  const key = `${object}/${target}`;
+  const known = hashes.get(key);
+  if (known !== undefined) return known;
+  if (hashes.size >= maxHashes) hashes.clear();
+  const share = hashToShare(key);
+  hashes.set(key, share);
+  return share;
+}
+
+/** Chooses among all targets of one service. */
+export function placeRequest(
+  targets: readonly TargetBelief[],
+  question: PlacementQuestion,
+): Placement {
+  const { nowMillis, estimate, object } = question;
+  const meanMillis = estimate.meanMillis();
+  let best: TargetBelief | undefined;
+  let bestCost = Infinity;
+  let bestFinish = Infinity;
+  let bestWarm = false;
+  let fullFinish = Infinity;
+  let slots = 0;
+  let usableAtMillis = Infinity;
+  for (const target of targets) {
+    if (target.isLeaving() || !question.isAllowed(target)) continue;
+    if (question.exclude.has(target.record.id)) continue;
+    if (target.isPaused(nowMillis)) {
+      usableAtMillis = Math.min(usableAtMillis, target.pausedUntilMillis);
+      continue;
+    }
+    const cold = target.isCold(nowMillis);
+    if (cold) {
+      const perSecond = question.coldPerSecond(target);
+      if (perSecond <= 0) continue;
+      if (!target.cold.allows(nowMillis, { perSecond })) {
+        usableAtMillis = Math.min(usableAtMillis, nowMillis + 1000 / perSecond);
+        continue;
+      }
+    }
+    const inFlight = target.inFlight(nowMillis);
+    slots += target.record.slots;
+    const ahead = Math.max(0, inFlight - target.record.slots + 1);
+    const warm = target.isWarmFor(object, nowMillis);
+    const slowness = target.slowness * (cold ? coldWorkFactor : 1);
+    const waitMillis = ahead * meanMillis * slowness / target.record.slots;
+    const finishMillis = question.roundTripMillis(target) + waitMillis +
+      estimate.workMillis(warm) * slowness;
+    if (ahead > waitingPerTarget) {
+      fullFinish = Math.min(fullFinish, finishMillis);
+      continue;
+    }
+    let cost = finishMillis;
+    if (object !== undefined) {
+      cost += (1 - rendezvousShare(object, target.record.id)) *
+        affinityWeight * meanMillis;
+    }
+    if (target.failureRate > soundFailureRate) {
+      cost += target.failureRate * failureWeight * meanMillis;
+    }
+    if (cost < bestCost) {
+      best = target;
+      bestCost = cost;
+      bestFinish = finishMillis;
+      bestWarm = warm;
+    }
+  }
+  if (best !== undefined) {
+    return {
+      kind: "send",
+      target: best,
+      finishMillis: bestFinish,
+      warm: bestWarm,
+    };
+  }
+  if (fullFinish < Infinity) {
+    return { kind: "full", slots, finishMillis: fullFinish };
+  }
+  return { kind: "none", usableAtMillis };
+}
--- /dev/null
+++ b/packages/steering/src/target_book.ts
@@ -0,0 +1,142 @@
+/**
+ * All targets that one entry knows, by service. Rows arrive with versions;
+ * an older row never replaces a newer one.
+ *
+ * A record that disappears right after an outage of the store may only have
+ * lapsed there while its target lives on: such a target stays usable for a
+ * grace period. At any other time a missing record means that the target is
+ * gone.
+ */
+import type { TargetRecord } from "./steering_config.ts";
+import { TargetBelief } from "./target_belief.ts";
+
+/** Records that lapsed during an outage are back within this time of its end. */
+export const lapseGraceMillis = 2000;
+
+/** Targets by id and by service. */
+export class TargetBook {
+  readonly #targets = new Map<string, TargetBelief>();
+  readonly #byService = new Map<string, TargetBelief[]>();
+  readonly #removedAtVersion = new Map<string, number>();
+  /** Targets whose record is missing, with the time until they stay usable. */
+  readonly #lapsed = new Map<string, number>();
+  #complete = false;
+
+  /** Applies one row. Returns what changed, for the log. */
+  apply(
+    row: { id: string; version: number; record: TargetRecord | undefined },
+    options: { nowMillis: number; storeBackAtMillis: number },
+  ): "added" | "changed" | "replaced" | "removed" | "lapsed" | "none" {
+    const known = this.#targets.get(row.id);
+    const newest = known?.version ?? this.#removedAtVersion.get(row.id) ?? 0;
+    if (row.version <= newest) return "none";
+    if (row.record === undefined) {
+      return this.#drop(row, known, options);
+    }
+    this.#lapsed.delete(row.id);
+    this.#removedAtVersion.delete(row.id);
+    if (known === undefined) {
+      this.#add(row.record, row.version, options.nowMillis);
+      return "added";
+    }
+    if (!isSameIncarnation(known.record, row.record)) {
+      this.#delete(row.id);
+      this.#add(row.record, row.version, options.nowMillis);
+      return "replaced";
+    }
+    const before = known.record;
+    known.update(row.record, {
+      version: row.version,
+      nowMillis: options.nowMillis,
+    });
+    return before.draining === row.record.draining ? "none" : "changed";
+  }
+
+  /** Drops targets that a full read no longer lists. */
+  retain(
+    ids: ReadonlySet<string>,
+    options: { version: number; nowMillis: number; storeBackAtMillis: number },
+  ): string[] {
+    const missing: string[] = [];
+    for (const [id, target] of this.#targets) {
+      if (ids.has(id) || target.version > options.version) continue;
+      if (this.#lapsed.has(id)) continue;
+      missing.push(id);
+      this.apply({ id, version: options.version, record: undefined }, options);
+    }
+    this.#complete = true;
+    return missing;
+  }
+
+  /** True once the whole list was read. */
+  get isComplete(): boolean {
+    return this.#complete;
+  }
+
+  /** Removes lapsed targets whose grace is over; returns their ids. */
+  expire(nowMillis: number): string[] {
+    const gone: string[] = [];
+    for (const [id, untilMillis] of this.#lapsed) {
+      if (nowMillis < untilMillis) continue;
+      this.#lapsed.delete(id);
+      this.#delete(id);
+      gone.push(id);
+    }
+    return gone;
+  }
+
+  get(id: string): TargetBelief | undefined {
+    return this.#targets.get(id);
+  }
+
+  ofService(service: string): readonly TargetBelief[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  all(): IterableIterator<TargetBelief> {
+    return this.#targets.values();
+  }
+
+  get size(): number {
+    return this.#targets.size;
+  }
+
+  #drop(
+    row: { id: string; version: number },
+    known: TargetBelief | undefined,
+    options: { nowMillis: number; storeBackAtMillis: number },
+  ): "removed" | "lapsed" | "none" {
+    this.#removedAtVersion.set(row.id, row.version);
+    if (known === undefined) return "none";
+    const graceEndMillis = options.storeBackAtMillis + lapseGraceMillis;
+    if (options.nowMillis < graceEndMillis && !known.isLeaving()) {
+      this.#lapsed.set(row.id, graceEndMillis);
+      known.version = row.version;
+      return "lapsed";
+    }
+    this.#delete(row.id);
+    return "removed";
+  }
+
+  #add(record: TargetRecord, version: number, nowMillis: number): void {
+    const target = new TargetBelief(record, { version, nowMillis });
+    this.#targets.set(record.id, target);
+    const list = this.#byService.get(record.service);
+    if (list) list.push(target);
+    else this.#byService.set(record.service, [target]);
+  }
+
+  #delete(id: string): void {
+    const target = this.#targets.get(id);
+    if (target === undefined) return;
+    this.#targets.delete(id);
+    const list = this.#byService.get(target.record.service) ?? [];
+    const index = list.indexOf(target);
+    if (index >= 0) list.splice(index, 1);
+  }
+}
+
+function isSameIncarnation(a: TargetRecord, b: TargetRecord): boolean {
+  return a.address === b.address && a.service === b.service &&
+    a.bornMillis === b.bornMillis;
+}
