Place by known objects and the expected finish; refuse what would be late

Change: expected work counts what is known of the object at the target, the first target of the region is preferred, work weighs beyond itself, a request that would miss its objective is refused at once. Answers without a length that end with an error are no longer complete. The retry budget counts entries only once their list was read.

--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -84,6 +84,7 @@
   ): void {
     this.apply(rows, options.nowMillis);
     if (table === StateTable.targets) this.#retainTargets(rows, options);
+    if (table === StateTable.entries) this.members.isComplete = true;
     if (table === StateTable.operator) this.#retainEvacuations(rows, options);
   }
 
@@ -156,6 +157,7 @@
       case "target":
         return this.#applyTarget(row, nowMillis);
       case "entry":
+        if (row.id === this.#settings.instance.id) return;
         return this.members.apply(row.id, row.record, row.version);
     }
   }
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -133,7 +133,9 @@
       });
       this.#send(beat.entry);
     }
-    for (const suspect of beat.suspects) state.crashes.merge(suspect, nowMillis);
+    for (const suspect of beat.suspects) {
+      state.crashes.merge(suspect, nowMillis);
+    }
     const [operator, targets] = this.#options.versions();
     if (beat.versions[0] > operator || beat.versions[1] > targets) {
       onAhead(beat.entry, beat.versions);
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -5,7 +5,11 @@
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
-import { admitRequest } from "@bamboolane/steering/admit_request";
+import {
+  type Admission,
+  admitRequest,
+  expectedWaitMillis,
+} from "@bamboolane/steering/admit_request";
 import {
   type Placement,
   placeRequest,
@@ -158,6 +162,8 @@
       nowMillis,
       estimate: this.#estimate(request),
       roundTripMillis: (target) => this.#roundTrips.read(target),
+      isNear: (target) =>
+        state.region(target) === this.#options.settings.instance.region,
       isAllowed: (target) =>
         !state.isEvacuated(target.record.dataCentre) &&
         (allowedRegions.length === 0 ||
@@ -175,58 +181,55 @@
   }
 
   #start(request: GatewayRequest, nowMillis: number): void {
-    const lane = this.#lane(request.service);
-    const placement = lane.line.length > 0
-      ? undefined
-      : this.#place(request, nowMillis);
-    if (placement?.kind === "send") {
+    const { line } = this.#lane(request.service);
+    const placement = this.#place(request, nowMillis);
+    const admission = this.#admit(request, placement, nowMillis);
+    if (admission.kind === "refuse") {
+      return this.#refuse(request, {
+        reason: placement.kind,
+        retryAfterMillis: admission.retryAfterMillis,
+        ahead: line.length,
+      });
+    }
+    if (placement.kind === "send" && line.length === 0) {
       return this.#send(request, placement, nowMillis);
     }
-    this.#admit(request, placement ?? this.#place(request, nowMillis));
+    line.add(request);
+    this.#drain(request.service);
   }
 
-  /** Lets the request wait, or refuses it at once. */
-  #admit(request: GatewayRequest, placement: Placement): void {
-    const nowMillis = performance.now();
-    const lane = this.#lane(request.service);
+  #admit(
+    request: GatewayRequest,
+    placement: Placement,
+    nowMillis: number,
+  ): Admission {
+    const { random } = this.#options;
+    const { line, flow } = this.#lane(request.service);
     if (placement.kind === "none" && placement.usableAtMillis === Infinity) {
-      return this.#refuse(request, {
-        reason: "no-target",
-        retryAfterMillis: noTargetRetryMillis * (1 + this.#options.random()),
-      });
+      const retryAfterMillis = noTargetRetryMillis * (1 + random());
+      return { kind: "refuse", retryAfterMillis };
     }
     const work = this.#estimate(request).meanMillis();
-    const finishMillis = placement.kind === "none"
-      ? placement.usableAtMillis - nowMillis + work
-      : placement.finishMillis;
-    const flow = lane.flow.read(nowMillis) * 1000 / flowWindowMillis;
-    const admission = admitRequest({
-      ahead: lane.line.length,
-      servedPerSecond: Math.max(flow, this.#leastFlow(placement, work)),
-      finishMillis,
+    const flowPerSecond = Math.max(
+      flow.read(nowMillis) * 1000 / flowWindowMillis,
+      this.#leastFlow(placement, work),
+    );
+    const taken = placement.kind === "send" && line.length === 0;
+    return admitRequest({
+      waitMillis: taken ? 0 : expectedWaitMillis(line.length, flowPerSecond),
+      finishMillis: placement.kind === "none"
+        ? placement.usableAtMillis - nowMillis + work
+        : placement.finishMillis,
       leftMillis: request.expiresAtMillis - nowMillis,
       objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
-      random: this.#options.random(),
+      random: random(),
     });
-    switch (admission.kind) {
-      case "wait":
-        lane.line.add(request);
-        if (lane.line.length === 1) return;
-        return this.#drain(request.service);
-      case "refuse":
-        return this.#refuse(request, {
-          reason: "full",
-          retryAfterMillis: admission.retryAfterMillis,
-          expectedWaitMillis: admission.expectedWaitMillis,
-          ahead: lane.line.length,
-        });
-    }
   }
 
   /** Flow that this entry's part of the slots gives, before any was measured. */
   #leastFlow(placement: Placement, workMillis: number): number {
     const slots = placement.kind === "full" ? placement.slots : 1;
-    const entries = Math.max(1, this.#options.state.members.size);
+    const entries = this.#options.state.members.count;
     return slots * 1000 / Math.max(1, workMillis) / entries / 2;
   }
 
@@ -442,7 +445,10 @@
         if (end.answer.status >= 500 && this.#repeat(request, "target-error")) {
           return;
         }
-        this.#finish(request, "answered", { target, status: end.answer.status });
+        this.#finish(request, "answered", {
+          target,
+          status: end.answer.status,
+        });
         return this.#passOn(request, end.answer);
       case "streamed":
       case "stream-cut":
@@ -492,7 +498,7 @@
     if (placement.kind !== "send") return false;
     if (
       !state.budget(request.service).spend(nowMillis, {
-        entries: state.members.size,
+        entries: state.members.isComplete ? state.members.count : Infinity,
       })
     ) {
       log.info("repeat_denied", { request: request.id, cause });
@@ -530,7 +536,6 @@
     options: {
       reason: string;
       retryAfterMillis: number;
-      expectedWaitMillis?: number;
       ahead?: number;
     },
   ): void {
@@ -563,7 +568,6 @@
       status?: number;
       reason?: string;
       retryAfterMillis?: number;
-      expectedWaitMillis?: number;
       ahead?: number;
     },
   ): void {
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -169,6 +169,7 @@
 
   onResponseEnd(): void {
     if (this.#ended) return;
+    if (this.#options.connection.failed) return this.#cut("reset");
     const leaving = this.#leaving;
     if (this.#notRun) {
       return this.#end({ kind: "not-run", status: this.#status, leaving });
@@ -199,7 +200,11 @@
     error: Error,
   ): void {
     if (this.#ended) return;
-    const reason = (error as NodeJS.ErrnoException).code ?? error.message;
+    this.#cut((error as NodeJS.ErrnoException).code ?? error.message);
+  }
+
+  /** The connection ended before the answer was complete. */
+  #cut(reason: string): void {
     if (this.#streaming) {
       this.#request.sink.cut();
       return this.#end({ kind: "stream-cut", reason });
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -110,7 +110,10 @@
     while (!this.#stopped) {
       try {
         const page = await store.read(StateTable.entries);
-        state.apply(page.rows, performance.now());
+        state.applyWhole(StateTable.entries, page.rows, {
+          version: page.version,
+          nowMillis: performance.now(),
+        });
         return;
       } catch (error) {
         log.info("members_unread", { error: (error as Error).message });
@@ -134,7 +137,7 @@
     address: string,
     options: { always?: boolean } = {},
   ): Promise<void> {
-    const { state, log } = this.#options;
+    const { log } = this.#options;
     const nowMillis = performance.now();
     const waited = nowMillis - this.#borrowedAtMillis;
     if (!options.always && waited < borrowIntervalMillis) return;
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -5,7 +5,7 @@
  * are older than it are closed too.
  */
 import { connect } from "node:net";
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 
 /** Time for a new connection; links between regions take a tenth of it. */
 const connectTimeoutMillis = 1000;
@@ -16,11 +16,18 @@
 /** Time to find out whether a target's port is closed. */
 const goneCheckMillis = 300;
 
+const connectTarget = buildConnector({ timeout: connectTimeoutMillis });
+
 /** One connection with its state. */
 export class TargetConnection {
   readonly client: Client;
   /** True once the connection was established. */
   connected = false;
+  /**
+   * True once the connection ended with an error. The HTTP client takes an
+   * answer without a length as complete then; it isn't.
+   */
+  failed = false;
   lastUsedAtMillis = 0;
 
   constructor(
@@ -29,7 +36,12 @@
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connectTimeout: connectTimeoutMillis,
+      connect: (target, done) =>
+        connectTarget(target, (error, socket) => {
+          if (error) return done(error, null);
+          socket.prependListener("error", () => this.failed = true);
+          done(null, socket);
+        }),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleMillis,
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -1,19 +1,18 @@
 /**
- * Decides at arrival whether a request that finds all targets full may wait at
- * the entry. It answers overload: a line longer than what can be served in
- * time only makes every answer late. What can't be served in time is refused
- * at once, with the time at which room is expected.
+ * Decides at arrival whether a request is taken or refused. It answers
+ * overload: work that ends after the objective takes the room of work that
+ * would have met it, and a line longer than what can be served in time makes
+ * every answer late. What can't be served in time is refused at once, with the
+ * time at which room is expected.
  */
 
-/** A request and the line that it would join. */
+/** A request and what it would find. */
 export interface AdmissionQuestion {
-  /** Requests in line before it. */
-  ahead: number;
-  /** Requests of the service that leave this entry's line per second. */
-  servedPerSecond: number;
-  /** Expected time from leaving the line to the answer. Unit: milliseconds. */
+  /** Expected time in the entry's line; 0 where a target takes it now. */
+  waitMillis: number;
+  /** Expected time from leaving the line to the answer. */
   finishMillis: number;
-  /** Time left until the answer is useless. Unit: milliseconds. */
+  /** Time left until the answer is useless. */
   leftMillis: number;
   /** Time left until the objective is missed; negative where it is missed. */
   objectiveLeftMillis: number;
@@ -23,38 +22,44 @@
 
 /** What becomes of the request. */
 export type Admission =
-  | { kind: "wait"; expectedWaitMillis: number }
-  | { kind: "refuse"; retryAfterMillis: number; expectedWaitMillis: number };
+  | { kind: "accept" }
+  | { kind: "refuse"; retryAfterMillis: number };
 
 /** How far the expected finish may exceed the objective: estimates are that rough. */
 const objectiveTolerance = 1.25;
-/** Part of the time left that a wait may use, whatever the objective. */
+/** Part of the time left that may be used, for the same reason. */
 const usableShareOfDeadline = 0.85;
 const leastRetryAfterMillis = 100;
 /** Longest time after which a refused caller is asked back. */
 const mostRetryAfterMillis = 3000;
-/** Width of the spread, in parts of the expected wait. */
-const retrySpread = 1;
 
 /** Decides about one request. */
 export function admitRequest(question: AdmissionQuestion): Admission {
-  const waitMillis = (question.ahead + 1) * 1000 /
-    Math.max(0.5, question.servedPerSecond);
-  const finishMillis = waitMillis + question.finishMillis;
-  const objective = Math.max(0, question.objectiveLeftMillis) *
-    objectiveTolerance;
-  const late = question.objectiveLeftMillis <= 0;
-  const inTime = finishMillis <= question.leftMillis * usableShareOfDeadline;
-  if (inTime && (late || finishMillis <= objective)) {
-    return { kind: "wait", expectedWaitMillis: waitMillis };
-  }
-  const spread = 1 + retrySpread * question.random;
+  const { leftMillis, objectiveLeftMillis } = question;
+  const expectedMillis = question.waitMillis + question.finishMillis;
+  const usableMillis = leftMillis * usableShareOfDeadline;
+  const boundMillis = objectiveLeftMillis > 0
+    ? Math.min(usableMillis, objectiveLeftMillis * objectiveTolerance)
+    : usableMillis;
+  if (expectedMillis <= boundMillis) return { kind: "accept" };
+  // What lies beyond the bound has to be worked off before there is room.
+  const excessMillis = expectedMillis - boundMillis;
   return {
     kind: "refuse",
-    expectedWaitMillis: waitMillis,
     retryAfterMillis: Math.min(
       mostRetryAfterMillis,
-      Math.max(leastRetryAfterMillis, waitMillis * spread),
+      Math.max(leastRetryAfterMillis, excessMillis * (1 + question.random)),
     ),
   };
 }
+
+/** Expected time in a line that `ahead` others wait in. Unit: milliseconds. */
+export function expectedWaitMillis(
+  ahead: number,
+  servedPerSecond: number,
+): number {
+  return (ahead + 1) * 1000 / Math.max(leastFlowPerSecond, servedPerSecond);
+}
+
+/** A line that moves more slowly than this is not worth an estimate. */
+const leastFlowPerSecond = 0.5;
--- a/packages/steering/src/member_view.ts
+++ b/packages/steering/src/member_view.ts
@@ -19,9 +19,11 @@
 /** Silence after which an entry counts as dead: five heartbeats. */
 export const silenceMillis = 1500;
 
-/** Entries by id. */
+/** The other entries, by id. */
 export class MemberView {
   readonly #members = new Map<string, Member>();
+  /** False until the list of entries was read once. */
+  isComplete = false;
 
   /** Applies a row of the store. */
   apply(id: string, record: EntryRecord | undefined, version: number): void {
@@ -67,8 +69,9 @@
     return [...this.#members.values()];
   }
 
-  get size(): number {
-    return this.#members.size;
+  /** Known entries, also silent ones, with this one. */
+  get count(): number {
+    return this.#members.size + 1;
   }
 
   /** Entries whose heartbeats arrive and that take callers. */
@@ -78,13 +81,13 @@
     );
   }
 
-  /** Known entries of a region, also silent ones; at least 1. */
+  /** Known entries of this one's region, also silent ones, with this one. */
   countInRegion(region: string): number {
-    let count = 0;
+    let count = 1;
     for (const member of this.#members.values()) {
       if (member.record.region === region) count++;
     }
-    return Math.max(1, count);
+    return count;
   }
 
   /** Sum of what the live entries have in flight at a target. */
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -18,6 +18,8 @@
   estimate: ServiceEstimate;
   /** Round trip to the target's data centre. Unit: milliseconds. */
   roundTripMillis: (target: TargetBelief) => number;
+  /** True in the entry's own region. */
+  isNear: (target: TargetBelief) => boolean;
   /** False where the request may not run there at all. */
   isAllowed: (target: TargetBelief) => boolean;
   /** Rate that this entry may send to a cold target; 0 for none. */
@@ -34,10 +36,14 @@
   /** No target may take the request now. */
   | { kind: "none"; usableAtMillis: number };
 
-/** Requests that may wait at a target beyond its slots: it is never idle between two. */
-const waitingPerTarget = 1;
+/** Requests that may wait at a target, in parts of its slots: it is never idle between two. */
+const waitingPerSlot = 1;
 /** Preference for an object's first targets, in parts of the mean work time. */
-const affinityWeight = 0.3;
+const affinityWeight = 0.5;
+/** Chance that an object's first target of the region knows it from other entries. */
+const firstTargetWarmth = 0.6;
+/** What work costs the requests behind it, in parts of the work itself. */
+const pressureWeight = 0.5;
 /** Cost of a certain failure, in parts of the mean work time. */
 const failureWeight = 6;
 /** Failure rate below which a target counts as sound: single errors happen everywhere. */
@@ -58,6 +64,25 @@
   return share;
 }
 
+/** The target of the region that an object goes to while there is room. */
+function findFirst(
+  targets: readonly TargetBelief[],
+  question: PlacementQuestion,
+): TargetBelief | undefined {
+  const { object } = question;
+  if (object === undefined) return undefined;
+  let first: TargetBelief | undefined;
+  let firstShare = -1;
+  for (const target of targets) {
+    if (target.isLeaving() || !question.isNear(target)) continue;
+    const share = rendezvousShare(object, target.record.id);
+    if (share <= firstShare) continue;
+    first = target;
+    firstShare = share;
+  }
+  return first;
+}
+
 /** Chooses among all targets of one service. */
 export function placeRequest(
   targets: readonly TargetBelief[],
@@ -65,6 +90,7 @@
 ): Placement {
   const { nowMillis, estimate, object } = question;
   const meanMillis = estimate.meanMillis();
+  const first = findFirst(targets, question);
   let best: TargetBelief | undefined;
   let bestCost = Infinity;
   let bestFinish = Infinity;
@@ -92,15 +118,18 @@
     slots += target.record.slots;
     const ahead = Math.max(0, inFlight - target.record.slots + 1);
     const warm = target.isWarmFor(object, nowMillis);
+    const warmth = warm ? 1 : target === first ? firstTargetWarmth : 0;
     const slowness = target.slowness * (cold ? coldWorkFactor : 1);
     const waitMillis = ahead * meanMillis * slowness / target.record.slots;
+    const workMillis = slowness * (warmth * estimate.workMillis(true) +
+      (1 - warmth) * estimate.workMillis(false));
     const finishMillis = question.roundTripMillis(target) + waitMillis +
-      estimate.workMillis(warm) * slowness;
-    if (ahead > waitingPerTarget) {
+      workMillis;
+    if (ahead > waitingPerSlot * target.record.slots) {
       fullFinish = Math.min(fullFinish, finishMillis);
       continue;
     }
-    let cost = finishMillis;
+    let cost = finishMillis + workMillis * pressureWeight;
     if (object !== undefined) {
       cost += (1 - rendezvousShare(object, target.record.id)) *
         affinityWeight * meanMillis;
--- a/packages/steering/src/retry_budget.ts
+++ b/packages/steering/src/retry_budget.ts
@@ -35,11 +35,16 @@
     this.#requests.add(1, nowMillis);
   }
 
-  /** Takes one repeat; false where this entry's part is spent. */
+  /**
+   * Takes one repeat; false where this entry's part is spent. `nowMillis`
+   * counts from the start of the process.
+   */
   spend(nowMillis: number, options: { entries: number }): boolean {
-    const { ratio, allowance } = this.#terms;
+    const { ratio, allowance, windowMillis } = this.#terms;
+    // An earlier life of this process may have used its part of the window.
+    const isYoung = nowMillis < windowMillis;
     const share = ratio * this.#requests.read(nowMillis) +
-      allowance / Math.max(1, options.entries);
+      (isYoung ? 0 : allowance / Math.max(1, options.entries));
     if (this.#repeats.read(nowMillis) + 1 > share * safetyShare) return false;
     this.#repeats.add(1, nowMillis);
     return true;
--- a/packages/steering/src/target_belief.ts
+++ b/packages/steering/src/target_belief.ts
@@ -32,7 +32,7 @@
 /** A load report older than this says nothing about the present. Two common answers' time. */
 const reportLifetimeMillis = 600;
 /** Objects remembered for each target; targets keep a few dozen themselves. */
-const maxObjects = 64;
+const maxObjects = 24;
 /** How long a target is believed to run requests for an object faster. */
 const objectMemoryMillis = 20_000;
 /** First pause after a failed connection; doubles with each further one. */
@@ -43,8 +43,8 @@
 /** Weight of one attempt in the failure rate: ten attempts make a picture. */
 const failureWeight = 0.1;
 /** Weight of one answer in the speed: noise lasts for a handful of answers. */
-const speedWeight = 0.2;
-const speedBounds = { least: 0.3, most: 20 } as const;
+const speedWeight = 0.08;
+const speedBounds = { least: 0.4, most: 5 } as const;
 
 /** Beliefs about one target. */
 export class TargetBelief {
