--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -6,7 +6,10 @@
 import type { Dispatcher } from "undici";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayRequest, TargetAnswer } from "./gateway_request.ts";
-import type { TargetConnection } from "./target_connections.ts";
+import {
+  isAddressClosed,
+  type TargetConnection,
+} from "./target_connections.ts";
 
 /** Answers up to this size are held until they are whole. */
 const wholeAnswerBytes = 262_144;
@@ -69,11 +72,15 @@
   return listed;
 }
 
+/** Answers that never have a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** What an attempt needs besides the request. */
 export interface AttemptOptions {
   connection: TargetConnection;
   dialect: CallerDialect;
   targetId: string;
+  /** `ip:port` of the target. */
   host: string;
   leftMillis: number;
   /** The target's load header, as soon as the answer begins. */
@@ -103,6 +110,8 @@
   #chunks: Buffer[] = [];
   #size = 0;
   #streaming = false;
+  /** False for an answer that ends with its connection. */
+  #framed = true;
 
   constructor(request: GatewayRequest, options: AttemptOptions) {
     this.#request = request;
@@ -146,6 +155,8 @@
     for (let i = 0; i + 1 < raw.length; i += 2) {
       named.set(raw[i].toLowerCase(), raw[i + 1]);
     }
+    this.#framed = named.has("content-length") ||
+      named.has("transfer-encoding") || bodilessStatuses.has(status);
     this.#options.onHead(named.get(dialect.loadHeader));
     this.#leaving = named.get("connection")?.toLowerCase() === "close";
     this.#notRun = named.has(dialect.notRunHeader) ||
@@ -170,6 +181,16 @@
   onResponseEnd(): void {
     if (this.#ended) return;
     if (this.#options.connection.failed) return this.#cut("reset");
+    if (this.#framed) return this.#complete();
+    // A crash ends the connection like a complete answer does.
+    isAddressClosed(this.#options.host).then((closed) => {
+      if (this.#ended) return;
+      if (closed) this.#cut("target-crashed");
+      else this.#complete();
+    });
+  }
+
+  #complete(): void {
     const leaving = this.#leaving;
     if (this.#notRun) {
       return this.#end({ kind: "not-run", status: this.#status, leaving });
@@ -212,7 +233,7 @@
     if (!this.#options.connection.connected) {
       return this.#end({ kind: "unreachable", reason });
     }
-    this.#end({ kind: "lost", reason, spoiled: this.#status !== 0 });
+    this.#end({ kind: "lost", reason, spoiled: false });
   }
 
   /** Names what makes an answer unusable; empty for a sound one. */
