Tell an orderly end of an answer without a length from a reset

Change: on such an end one empty line is written; after a reset the write fails at once, after an orderly end it doesn't.

--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -282,7 +282,6 @@
       connection,
       dialect,
       targetId: record.id,
-      host: record.address,
       leftMillis,
       onHead: (load) => {
         headAtMillis = performance.now();
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -6,10 +6,7 @@
 import type { Dispatcher } from "undici";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayRequest, TargetAnswer } from "./gateway_request.ts";
-import {
-  isAddressClosed,
-  type TargetConnection,
-} from "./target_connections.ts";
+import type { TargetConnection } from "./target_connections.ts";
 
 /** Answers up to this size are held until they are whole. */
 const wholeAnswerBytes = 262_144;
@@ -80,8 +77,6 @@
   connection: TargetConnection;
   dialect: CallerDialect;
   targetId: string;
-  /** `ip:port` of the target. */
-  host: string;
   leftMillis: number;
   /** The target's load header, as soon as the answer begins. */
   onHead: (loadHeader: string | undefined) => void;
@@ -157,6 +152,7 @@
     }
     this.#framed = named.has("content-length") ||
       named.has("transfer-encoding") || bodilessStatuses.has(status);
+    if (!this.#framed) this.#options.connection.expectEnd();
     this.#options.onHead(named.get(dialect.loadHeader));
     this.#leaving = named.get("connection")?.toLowerCase() === "close";
     this.#notRun = named.has(dialect.notRunHeader) ||
@@ -180,13 +176,11 @@
 
   onResponseEnd(): void {
     if (this.#ended) return;
-    if (this.#options.connection.failed) return this.#cut("reset");
     if (this.#framed) return this.#complete();
-    // A crash ends the connection like a complete answer does.
-    isAddressClosed(this.#options.host).then((closed) => {
+    this.#options.connection.endedInOrder().then((inOrder) => {
       if (this.#ended) return;
-      if (closed) this.#cut("target-crashed");
-      else this.#complete();
+      if (inOrder) this.#complete();
+      else this.#cut("reset");
     });
   }
 
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -4,7 +4,7 @@
  * got no answer is never used again; where one fell silent, the idle ones that
  * are older than it are closed too.
  */
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 
 /** Time for a new connection; links between regions take a tenth of it. */
@@ -18,17 +18,41 @@
 
 const connectTarget = buildConnector({ timeout: connectTimeoutMillis });
 
+/**
+ * Tells an orderly end of a connection from a reset. When a reset arrives
+ * together with the last bytes, Node reports a plain end; but then a write
+ * fails at once, while it still succeeds after an orderly end. The empty line
+ * that is written means nothing to an HTTP server.
+ */
+class EndProbe {
+  readonly result: Promise<boolean>;
+  #settle!: (inOrder: boolean) => void;
+  #armed = false;
+
+  constructor() {
+    this.result = new Promise((resolve) => this.#settle = resolve);
+  }
+
+  arm(): void {
+    this.#armed = true;
+  }
+
+  watch(socket: Socket): void {
+    socket.prependListener("error", () => this.#settle(false));
+    socket.prependListener("end", () => {
+      if (!this.#armed) return;
+      socket.write("\r\n", (error) => this.#settle(!error));
+    });
+  }
+}
+
 /** One connection with its state. */
 export class TargetConnection {
   readonly client: Client;
   /** True once the connection was established. */
   connected = false;
-  /**
-   * True once the connection ended with an error. The HTTP client takes an
-   * answer without a length as complete then; it isn't.
-   */
-  failed = false;
   lastUsedAtMillis = 0;
+  readonly #end = new EndProbe();
 
   constructor(
     address: string,
@@ -39,7 +63,7 @@
       connect: (target, done) =>
         connectTarget(target, (error, socket) => {
           if (error) return done(error, null);
-          socket.prependListener("error", () => this.failed = true);
+          this.#end.watch(socket);
           done(null, socket);
         }),
       headersTimeout: 0,
@@ -55,6 +79,16 @@
     this.client.on("connectionError", options.onGone);
   }
 
+  /** The answer under way ends with the connection: finds out how that ends. */
+  expectEnd(): void {
+    this.#end.arm();
+  }
+
+  /** True where the connection ended in order, false where it was reset. */
+  endedInOrder(): Promise<boolean> {
+    return this.#end.result;
+  }
+
   close(): void {
     this.client.destroy().catch(() => {
       // Destroying an already closed connection changes nothing.
