Give each object two homes; move homes between regions slowly

Change: weighted rendezvous names two homes, straying costs what it does to other objects, the share of homes in other regions follows the load by 0.04 a second, a finish past the objective costs four times its excess.

--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -10,6 +10,8 @@
   admitRequest,
   expectedWaitMillis,
 } from "@bamboolane/steering/admit_request";
+import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
+import { RegionShare } from "@bamboolane/steering/region_share";
 import {
   type Placement,
   placeRequest,
@@ -53,8 +55,11 @@
 interface Lane {
   line: WaitLine<GatewayRequest>;
   flow: WindowCounter;
+  share: RegionShare;
 }
 
+const noHomes: ObjectHomes = { first: undefined, second: undefined };
+
 /** Runs the requests of one entry. */
 export class RequestRunner {
   readonly #options: RunnerOptions;
@@ -144,6 +149,7 @@
       lane = {
         line: new WaitLine(),
         flow: new WindowCounter(flowWindowMillis),
+        share: new RegionShare(),
       };
       this.#lanes.set(service, lane);
     }
@@ -157,22 +163,55 @@
     for (const target of targets) {
       target.notePeers(state.members.inFlightAt(target.record.id, nowMillis));
     }
+    const isAllowed = (target: TargetBelief) =>
+      !state.isEvacuated(target.record.dataCentre) &&
+      (allowedRegions.length === 0 ||
+        allowedRegions.includes(state.region(target)));
+    const farWeight = this.#farWeight(request.service, targets, nowMillis);
+    const weightOf = (target: TargetBelief) => {
+      if (target.isLeaving() || !isAllowed(target)) return 0;
+      return target.record.slots * (this.#isNear(target) ? 1 : farWeight);
+    };
     return placeRequest(targets, {
       object: request.object,
       nowMillis,
       estimate: this.#estimate(request),
+      objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
       roundTripMillis: (target) => this.#roundTrips.read(target),
-      isNear: (target) =>
-        state.region(target) === this.#options.settings.instance.region,
-      isAllowed: (target) =>
-        !state.isEvacuated(target.record.dataCentre) &&
-        (allowedRegions.length === 0 ||
-          allowedRegions.includes(state.region(target))),
+      homes: request.object === undefined
+        ? noHomes
+        : findHomes(request.object, targets, weightOf),
+      isAllowed,
       coldPerSecond: (target) => state.coldPerSecond(target),
       exclude: request.tried,
     });
   }
 
+  #isNear(target: TargetBelief): boolean {
+    const { settings, state } = this.#options;
+    return state.region(target) === settings.instance.region;
+  }
+
+  /** Weight of slots in other regions for the homes of a service's objects. */
+  #farWeight(
+    service: string,
+    targets: readonly TargetBelief[],
+    nowMillis: number,
+  ): number {
+    const near = { inFlight: 0, slots: 0 };
+    const far = { inFlight: 0, slots: 0 };
+    for (const target of targets) {
+      if (target.isLeaving()) continue;
+      if (this.#options.state.isEvacuated(target.record.dataCentre)) continue;
+      const side = this.#isNear(target) ? near : far;
+      side.slots += target.record.slots;
+      side.inFlight += target.inFlight(nowMillis);
+    }
+    const { share } = this.#lane(service);
+    share.update(near, far, nowMillis);
+    return share.farWeight(near, far);
+  }
+
   #estimate(request: GatewayRequest) {
     return this.#options.state.estimate(
       request.service,
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -6,7 +6,7 @@
  * (bounded load). This answers uneven demand: requests for one object stay
  * together while there is room, and overflow to the next target when not.
  */
-import { hashToShare } from "@bamboolane/route/rendezvous";
+import type { ObjectHomes } from "./object_homes.ts";
 import type { ServiceEstimate } from "./service_estimate.ts";
 import type { TargetBelief } from "./target_belief.ts";
 
@@ -16,10 +16,12 @@
   object: string | undefined;
   nowMillis: number;
   estimate: ServiceEstimate;
+  /** Time left to meet the objective; negative where it is missed. */
+  objectiveLeftMillis: number;
   /** Round trip to the target's data centre. Unit: milliseconds. */
   roundTripMillis: (target: TargetBelief) => number;
-  /** True in the entry's own region. */
-  isNear: (target: TargetBelief) => boolean;
+  /** Where the object's requests go while there is room. */
+  homes: ObjectHomes;
   /** False where the request may not run there at all. */
   isAllowed: (target: TargetBelief) => boolean;
   /** Rate that this entry may send to a cold target; 0 for none. */
@@ -38,12 +40,17 @@
 
 /** Requests that may wait at a target, in parts of its slots: it is never idle between two. */
 const waitingPerSlot = 1;
-/** Preference for an object's first targets, in parts of the mean work time. */
-const affinityWeight = 0.5;
-/** Chance that an object's first target of the region knows it from other entries. */
-const firstTargetWarmth = 0.6;
+/** Chance that an object's homes know it from other entries' requests. */
+const homeWarmth = { first: 0.7, second: 0.2 } as const;
+/**
+ * What a request away from its object's first home costs others, in parts of
+ * the work for an unknown object: it pushes another object out there.
+ */
+const strayCost = { second: 0.5, other: 2.5 } as const;
 /** What work costs the requests behind it, in parts of the work itself. */
 const pressureWeight = 0.5;
+/** What a millisecond past the objective costs: an answer loses most of its value there. */
+const lateWeight = 4;
 /** Cost of a certain failure, in parts of the mean work time. */
 const failureWeight = 6;
 /** Failure rate below which a target counts as sound: single errors happen everywhere. */
@@ -51,36 +58,20 @@
 /** Usual work on a cold target, relative to a warm one. */
 const coldWorkFactor = 2;
 
-const hashes = new Map<string, number>();
-const maxHashes = 50_000;
-
-function rendezvousShare(object: string, target: string): number {
-  const key = `${object}/${target}`;
-  const known = hashes.get(key);
-  if (known !== undefined) return known;
-  if (hashes.size >= maxHashes) hashes.clear();
-  const share = hashToShare(key);
-  hashes.set(key, share);
-  return share;
+function homeWarmthOf(
+  target: TargetBelief,
+  { homes }: PlacementQuestion,
+): number {
+  if (target === homes.first) return homeWarmth.first;
+  return target === homes.second ? homeWarmth.second : 0;
 }
 
-/** The target of the region that an object goes to while there is room. */
-function findFirst(
-  targets: readonly TargetBelief[],
-  question: PlacementQuestion,
-): TargetBelief | undefined {
-  const { object } = question;
-  if (object === undefined) return undefined;
-  let first: TargetBelief | undefined;
-  let firstShare = -1;
-  for (const target of targets) {
-    if (target.isLeaving() || !question.isNear(target)) continue;
-    const share = rendezvousShare(object, target.record.id);
-    if (share <= firstShare) continue;
-    first = target;
-    firstShare = share;
-  }
-  return first;
+function strayCostOf(
+  target: TargetBelief,
+  { object, homes }: PlacementQuestion,
+): number {
+  if (object === undefined || target === homes.first) return 0;
+  return target === homes.second ? strayCost.second : strayCost.other;
 }
 
 /** Chooses among all targets of one service. */
@@ -90,7 +81,6 @@
 ): Placement {
   const { nowMillis, estimate, object } = question;
   const meanMillis = estimate.meanMillis();
-  const first = findFirst(targets, question);
   let best: TargetBelief | undefined;
   let bestCost = Infinity;
   let bestFinish = Infinity;
@@ -118,7 +108,7 @@
     slots += target.record.slots;
     const ahead = Math.max(0, inFlight - target.record.slots + 1);
     const warm = target.isWarmFor(object, nowMillis);
-    const warmth = warm ? 1 : target === first ? firstTargetWarmth : 0;
+    const warmth = warm ? 1 : homeWarmthOf(target, question);
     const slowness = target.slowness * (cold ? coldWorkFactor : 1);
     const waitMillis = ahead * meanMillis * slowness / target.record.slots;
     const workMillis = slowness * (warmth * estimate.workMillis(true) +
@@ -130,10 +120,11 @@
       continue;
     }
     let cost = finishMillis + workMillis * pressureWeight;
-    if (object !== undefined) {
-      cost += (1 - rendezvousShare(object, target.record.id)) *
-        affinityWeight * meanMillis;
+    if (question.objectiveLeftMillis > 0) {
+      const lateMillis = finishMillis - question.objectiveLeftMillis;
+      cost += Math.max(0, lateMillis) * lateWeight;
     }
+    cost += strayCostOf(target, question) * estimate.workMillis(false);
     if (target.failureRate > soundFailureRate) {
       cost += target.failureRate * failureWeight * meanMillis;
     }
--- /dev/null
+++ b/packages/steering/src/region_share.ts
@@ -0,0 +1,66 @@
+/**
+ * The share of a region's objects that other regions run for one service. It
+ * answers a region short of room: with a sixth of the slots and a third of the
+ * callers, most objects have to live elsewhere for good, not be pushed out
+ * request by request. The share follows the load slowly, so that no window
+ * sees a large shift.
+ */
+
+/** Load of one side: requests at its targets, and their slots. */
+export interface RegionLoad {
+  inFlight: number;
+  slots: number;
+}
+
+/** Load, in parts of the slots, above which objects move away. */
+const fullLoad = 0.85;
+/** Load below which objects move back. */
+const easyLoad = 0.55;
+/** Lead that the home region's load must have before objects move away. */
+const leastLead = 0.15;
+/** Change of the share per second: two seconds stay far below common caps on shifts. */
+const shareStepPerSecond = 0.04;
+/** Weight of one look at the load; looks come several times a second. */
+const loadWeight = 0.1;
+
+/** Share of objects that leave the region. */
+export class RegionShare {
+  #share = 0;
+  #nearLoad = 0;
+  #farLoad = 0;
+  #updatedAtMillis: number | undefined;
+
+  /** Part of the objects that other regions run, 0 to 1. */
+  get share(): number {
+    return this.#share;
+  }
+
+  /** Looks at the load of both sides. */
+  update(near: RegionLoad, far: RegionLoad, nowMillis: number): void {
+    const elapsedMillis = nowMillis - (this.#updatedAtMillis ?? nowMillis);
+    this.#updatedAtMillis = nowMillis;
+    this.#nearLoad += (loadOf(near) - this.#nearLoad) * loadWeight;
+    this.#farLoad += (loadOf(far) - this.#farLoad) * loadWeight;
+    const step = shareStepPerSecond * Math.min(1000, elapsedMillis) / 1000;
+    const lead = this.#nearLoad - this.#farLoad;
+    if (this.#nearLoad > fullLoad && lead > leastLead) this.#share += step;
+    else if (this.#nearLoad < easyLoad || lead < -leastLead) {
+      this.#share -= step;
+    }
+    const slots = near.slots + far.slots;
+    // In proportion to the slots at most: more would turn the shortage round.
+    const most = slots > 0 ? far.slots / slots : 0;
+    this.#share = Math.min(most, Math.max(0, this.#share));
+  }
+
+  /** Weight of a slot elsewhere, where one in the region weighs 1. */
+  farWeight(near: RegionLoad, far: RegionLoad): number {
+    if (near.slots === 0) return 1;
+    if (far.slots === 0 || this.#share === 0) return 0;
+    return this.#share * near.slots / ((1 - this.#share) * far.slots);
+  }
+}
+
+function loadOf(load: RegionLoad): number {
+  return load.slots > 0 ? load.inFlight / load.slots : 0;
+}
