Serve late answers while there is room; entries that start together find each other

Change: below a load of 0.45 a free slot is for whoever comes; the list is read again after registering and every 15 s.

--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -243,7 +243,7 @@
     nowMillis: number,
   ): Admission {
     const { random } = this.#options;
-    const { line, flow } = this.#lane(request.service);
+    const { line, flow, share } = this.#lane(request.service);
     if (placement.kind === "none" && placement.usableAtMillis === Infinity) {
       const retryAfterMillis = noTargetRetryMillis * (1 + random());
       return { kind: "refuse", retryAfterMillis };
@@ -253,14 +253,19 @@
       flow.read(nowMillis) * 1000 / flowWindowMillis,
       this.#leastFlow(placement, work),
     );
-    const taken = placement.kind === "send" && line.length === 0;
+    const isTaken = placement.kind === "send" && line.length === 0;
+    const lineMillis = isTaken
+      ? 0
+      : expectedWaitMillis(line.length, flowPerSecond);
+    const targetMillis = placement.kind === "send" ? placement.waitMillis : 0;
     return admitRequest({
-      waitMillis: taken ? 0 : expectedWaitMillis(line.length, flowPerSecond),
-      finishMillis: placement.kind === "none"
+      waitMillis: lineMillis + targetMillis,
+      serviceMillis: placement.kind === "none"
         ? placement.usableAtMillis - nowMillis + work
-        : placement.finishMillis,
+        : placement.finishMillis - targetMillis,
       leftMillis: request.expiresAtMillis - nowMillis,
       objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
+      load: share.load,
       random: random(),
     });
   }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -146,7 +146,7 @@
       try {
         await store.register(self);
         log.info("registered", { incarnation: self.incarnation });
-        return;
+        return stateTask.readMembers();
       } catch (error) {
         log.warn("register_failed", { error: (error as Error).message });
         await pause(registerRetryMillis);
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -26,7 +26,9 @@
 const aheadToleranceMillis = 600;
 /** Least time between two reads of other entries' state. */
 const borrowIntervalMillis = 500;
-/** Pause between attempts to read the entries' table at start. */
+/** How often the entries' table is read: heartbeats tell most of it sooner. */
+const membersReadMillis = 15_000;
+/** Pause between attempts to read the entries' table. */
 const membersRetryMillis = 300;
 
 /** Task that owns the followers. */
@@ -39,6 +41,10 @@
   #unreachable = false;
   #stopped = false;
   #borrower: NodeJS.Timeout | undefined;
+  #memberReader: NodeJS.Timeout | undefined;
+  #readingMembers = false;
+  /** A read that began earlier may lack what is asked for. */
+  #membersWanted = false;
 
   constructor(options: StateTaskOptions) {
     this.#options = options;
@@ -49,7 +55,11 @@
   start(): void {
     this.#operator.start();
     this.#targets.start();
-    this.#readMembers();
+    this.readMembers();
+    this.#memberReader = setInterval(
+      () => this.readMembers(),
+      membersReadMillis,
+    );
     this.#borrower = setInterval(
       () => this.#borrowAtStart(),
       borrowIntervalMillis,
@@ -59,6 +69,7 @@
   stop(): void {
     this.#stopped = true;
     clearInterval(this.#borrower);
+    clearInterval(this.#memberReader);
     this.#operator.stop();
     this.#targets.stop();
   }
@@ -105,21 +116,30 @@
     });
   }
 
-  async #readMembers(): Promise<void> {
+  /**
+   * Reads the entries' table. An entry reads it once more after it registered:
+   * of two that start together, at least one then sees the other.
+   */
+  async readMembers(): Promise<void> {
     const { store, state, log } = this.#options;
-    while (!this.#stopped) {
+    this.#membersWanted = true;
+    if (this.#readingMembers) return;
+    this.#readingMembers = true;
+    while (this.#membersWanted && !this.#stopped) {
+      this.#membersWanted = false;
       try {
         const page = await store.read(StateTable.entries);
         state.applyWhole(StateTable.entries, page.rows, {
           version: page.version,
           nowMillis: performance.now(),
         });
-        return;
       } catch (error) {
+        this.#membersWanted = true;
         log.info("members_unread", { error: (error as Error).message });
         await new Promise((resolve) => setTimeout(resolve, membersRetryMillis));
       }
     }
+    this.#readingMembers = false;
   }
 
   /** Without any state, and the store away, every known entry may help. */
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -8,14 +8,16 @@
 
 /** A request and what it would find. */
 export interface AdmissionQuestion {
-  /** Expected time in the entry's line; 0 where a target takes it now. */
+  /** Expected time until a slot is free, in the entry's line and at the target. */
   waitMillis: number;
-  /** Expected time from leaving the line to the answer. */
-  finishMillis: number;
+  /** Expected time from then to the answer. */
+  serviceMillis: number;
   /** Time left until the answer is useless. */
   leftMillis: number;
   /** Time left until the objective is missed; negative where it is missed. */
   objectiveLeftMillis: number;
+  /** Requests at the service's targets, in parts of their slots. */
+  load: number;
   /** Uniform in [0, 1): spreads those who come back. */
   random: number;
 }
@@ -29,6 +31,8 @@
 const objectiveTolerance = 1.25;
 /** Part of the time left that may be used, for the same reason. */
 const usableShareOfDeadline = 0.85;
+/** Load below which a free slot is for whoever comes, also where the answer will be late. */
+const busyLoad = 0.45;
 const leastRetryAfterMillis = 100;
 /** Longest time after which a refused caller is asked back. */
 const mostRetryAfterMillis = 3000;
@@ -36,7 +40,10 @@
 /** Decides about one request. */
 export function admitRequest(question: AdmissionQuestion): Admission {
   const { leftMillis, objectiveLeftMillis } = question;
-  const expectedMillis = question.waitMillis + question.finishMillis;
+  if (question.waitMillis === 0 && question.load < busyLoad) {
+    return { kind: "accept" };
+  }
+  const expectedMillis = question.waitMillis + question.serviceMillis;
   const usableMillis = leftMillis * usableShareOfDeadline;
   const boundMillis = objectiveLeftMillis > 0
     ? Math.min(usableMillis, objectiveLeftMillis * objectiveTolerance)
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -32,7 +32,14 @@
 
 /** Where a request goes. */
 export type Placement =
-  | { kind: "send"; target: TargetBelief; finishMillis: number; warm: boolean }
+  | {
+    kind: "send";
+    target: TargetBelief;
+    finishMillis: number;
+    /** Part of the finish that is spent waiting for a slot. */
+    waitMillis: number;
+    warm: boolean;
+  }
   /** All usable targets are full. */
   | { kind: "full"; slots: number; finishMillis: number }
   /** No target may take the request now. */
@@ -84,6 +91,7 @@
   let best: TargetBelief | undefined;
   let bestCost = Infinity;
   let bestFinish = Infinity;
+  let bestWait = 0;
   let bestWarm = false;
   let fullFinish = Infinity;
   let slots = 0;
@@ -132,6 +140,7 @@
       best = target;
       bestCost = cost;
       bestFinish = finishMillis;
+      bestWait = waitMillis;
       bestWarm = warm;
     }
   }
@@ -140,6 +149,7 @@
       kind: "send",
       target: best,
       finishMillis: bestFinish,
+      waitMillis: bestWait,
       warm: bestWarm,
     };
   }
--- a/packages/steering/src/region_share.ts
+++ b/packages/steering/src/region_share.ts
@@ -28,6 +28,7 @@
   #share = 0;
   #nearLoad = 0;
   #farLoad = 0;
+  #load = 0;
   #updatedAtMillis: number | undefined;
 
   /** Part of the objects that other regions run, 0 to 1. */
@@ -35,12 +36,22 @@
     return this.#share;
   }
 
+  /** Smoothed load of all regions together, in parts of the slots. */
+  get load(): number {
+    return this.#load;
+  }
+
   /** Looks at the load of both sides. */
   update(near: RegionLoad, far: RegionLoad, nowMillis: number): void {
     const elapsedMillis = nowMillis - (this.#updatedAtMillis ?? nowMillis);
     this.#updatedAtMillis = nowMillis;
     this.#nearLoad += (loadOf(near) - this.#nearLoad) * loadWeight;
     this.#farLoad += (loadOf(far) - this.#farLoad) * loadWeight;
+    const all = loadOf({
+      inFlight: near.inFlight + far.inFlight,
+      slots: near.slots + far.slots,
+    });
+    this.#load += (all - this.#load) * loadWeight;
     const step = shareStepPerSecond * Math.min(1000, elapsedMillis) / 1000;
     const lead = this.#nearLoad - this.#farLoad;
     if (this.#nearLoad > fullLoad && lead > leastLead) this.#share += step;
