--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -122,7 +122,7 @@
   budget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#settings.retryBudget);
+      budget = new RetryBudget(() => this.#settings.retryBudget);
       this.#budgets.set(service, budget);
     }
     return budget;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -197,6 +197,9 @@
     callers.close();
     for (const server of servers) server.close();
     store.close();
+    metrics.close().catch((error: Error) =>
+      log.warn("metrics_failed", { error: error.message })
+    );
     log.flush();
   }
 
--- a/packages/steering/src/retry_budget.ts
+++ b/packages/steering/src/retry_budget.ts
@@ -21,14 +21,16 @@
 
 /** Counts first sends and repeats of one service at one entry. */
 export class RetryBudget {
-  readonly #terms: RetryBudgetTerms;
+  readonly #terms: () => RetryBudgetTerms;
   readonly #requests: WindowCounter;
   readonly #repeats: WindowCounter;
 
-  constructor(terms: RetryBudgetTerms) {
+  /** The terms may change; the window is that of the start. */
+  constructor(terms: () => RetryBudgetTerms) {
+    const { windowMillis } = terms();
     this.#terms = terms;
-    this.#requests = new WindowCounter(terms.windowMillis);
-    this.#repeats = new WindowCounter(terms.windowMillis);
+    this.#requests = new WindowCounter(windowMillis);
+    this.#repeats = new WindowCounter(windowMillis);
   }
 
   noteRequest(nowMillis: number): void {
@@ -40,7 +42,7 @@
    * counts from the start of the process.
    */
   spend(nowMillis: number, options: { entries: number }): boolean {
-    const { ratio, allowance, windowMillis } = this.#terms;
+    const { ratio, allowance, windowMillis } = this.#terms();
     // An earlier life of this process may have used its part of the window.
     const isYoung = nowMillis < windowMillis;
     const share = ratio * this.#requests.read(nowMillis) +
