Tests of the gateway's decisions

Change: 18 scenarios replay load patterns on a fake clock: splits, the fleet's retry budget under a storm, cold targets, row order, lapses, homes, shares of regions, admission, lines, the directory.

--- /dev/null
+++ b/packages/steering/features/steering_steps.ts
@@ -0,0 +1,505 @@
+/**
+ * Steps for the gateway's decisions. Each load pattern is replayed on a fake
+ * clock with a fixed seed.
+ */
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { admitRequest } from "@bamboolane/steering/admit_request";
+import { ColdMeter } from "@bamboolane/steering/cold_meter";
+import { RouteIndex } from "@bamboolane/steering/match_route";
+import { MemberView } from "@bamboolane/steering/member_view";
+import { nameEntries } from "@bamboolane/steering/name_entries";
+import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
+import { placeRequest } from "@bamboolane/steering/place_request";
+import { RegionShare } from "@bamboolane/steering/region_share";
+import { RetryBudget } from "@bamboolane/steering/retry_budget";
+import { ServiceEstimate } from "@bamboolane/steering/service_estimate";
+import { SplitPicker } from "@bamboolane/steering/split_picker";
+import {
+  type EntryRecord,
+  Repeat,
+  type SteeringRoute,
+  type TargetRecord,
+} from "@bamboolane/steering/steering_config";
+import { TargetBelief } from "@bamboolane/steering/target_belief";
+import { lapseGraceMillis, TargetBook } from "@bamboolane/steering/target_book";
+import { WaitLine } from "@bamboolane/steering/wait_line";
+import { seededRandom } from "@bamboolane/test-utils/seeded_random";
+
+const seed = 7;
+
+function route(name: string, host: string, prefix: string): SteeringRoute {
+  return {
+    name,
+    host,
+    prefix,
+    repeat: Repeat.idempotent,
+    timeoutMillis: 1000,
+    objectiveMillis: 300,
+    attempts: 2,
+    priority: 1,
+    affinity: true,
+    allowedRegions: [],
+    parts: [{ service: "s", weight: 1 }],
+  };
+}
+
+function record(id: string, changes: Partial<TargetRecord> = {}): TargetRecord {
+  return {
+    id,
+    service: "s",
+    address: `10.0.0.1:${id.length}`,
+    dataCentre: "a1",
+    slots: 3,
+    draining: false,
+    warmupLeftMillis: 0,
+    bornMillis: 1,
+    ...changes,
+  };
+}
+
+function belief(id: string, changes: Partial<TargetRecord> = {}): TargetBelief {
+  return new TargetBelief(record(id, changes), { version: 1, nowMillis: 0 });
+}
+
+const index = new RouteIndex([
+  route("short", "one.example", "/a/"),
+  route("long", "one.example", "/a/b/"),
+]);
+
+Then(
+  "{string} of {string} goes to route {string} and {string} to route {string}",
+  (first: string, host: string, long: string, second: string, short: string) => {
+    assert.equal(index.match(host, first)?.name, long);
+    assert.equal(index.match(`${host.toUpperCase()}:80`, second)?.name, short);
+  },
+);
+
+Then(
+  "{string} of {string} and {string} of {string} match nothing",
+  (path: string, host: string, otherPath: string, otherHost: string) => {
+    assert.equal(index.match(host, path), undefined);
+    assert.equal(index.match(otherHost, otherPath), undefined);
+  },
+);
+
+let picker: SplitPicker;
+
+Given("a route split {int} to {int}", (large: number, small: number) => {
+  picker = new SplitPicker([
+    { service: "large", weight: large },
+    { service: "small", weight: small },
+  ]);
+});
+
+Then(
+  "each {int} requests in a row give {int} to the smaller part",
+  (span: number, expected: number) => {
+    const picks = Array.from({ length: 400 }, () => picker.next());
+    for (let start = 0; start + span <= picks.length; start++) {
+      const small = picks.slice(start, start + span)
+        .filter((service) => service === "small").length;
+      assert.equal(small, expected, `from ${start}`);
+    }
+  },
+);
+
+const budgetTerms = { ratio: 0.2, allowance: 64, windowMillis: 10_000 };
+let budgets: RetryBudget[] = [];
+let ratePerSecond = 0;
+const requestTimes: number[] = [];
+const repeatTimes: number[] = [];
+
+Given(
+  "{int} entries that each take {int} requests a second",
+  (entries: number, rate: number) => {
+    budgets = Array.from(
+      { length: entries },
+      () => new RetryBudget(() => budgetTerms),
+    );
+    ratePerSecond = rate;
+  },
+);
+
+When(
+  "every answer asks for a repeat for {int} seconds",
+  (seconds: number) => {
+    const startMillis = 60_000;
+    for (let i = 0; i < seconds * ratePerSecond; i++) {
+      const nowMillis = startMillis + i * 1000 / ratePerSecond;
+      for (const budget of budgets) {
+        budget.noteRequest(nowMillis);
+        requestTimes.push(nowMillis);
+        const spent = budget.spend(nowMillis, { entries: budgets.length });
+        if (spent) repeatTimes.push(nowMillis);
+      }
+    }
+  },
+);
+
+Then(
+  "no 10 seconds hold more repeats than {float} of the requests and {int}",
+  (ratio: number, allowance: number) => {
+    assert.ok(repeatTimes.length > 100, "repeats were made at all");
+    for (let start = 60_000; start <= 80_000; start += 250) {
+      const inWindow = (time: number) => time >= start && time < start + 10_000;
+      const repeats = repeatTimes.filter(inWindow).length;
+      const requests = requestTimes.filter(inWindow).length;
+      assert.ok(repeats <= ratio * requests + allowance, `${start}: ${repeats}`);
+    }
+  },
+);
+
+Then(
+  "an entry in its first 10 seconds spends only what its requests earn",
+  () => {
+    const budget = new RetryBudget(() => budgetTerms);
+    assert.equal(budget.spend(500, { entries: 1 }), false);
+    for (let i = 0; i < 100; i++) budget.noteRequest(1000 + i);
+    let spent = 0;
+    while (budget.spend(2000, { entries: 1 })) spent++;
+    assert.ok(spent > 0 && spent <= 20, `${spent}`);
+  },
+);
+
+let meters: ColdMeter[] = [];
+let coldPerSecond = 0;
+const coldTimes: number[] = [];
+
+Given(
+  "{int} entries of a region and a cold target of {float} requests a second",
+  (entries: number, rate: number) => {
+    meters = Array.from({ length: entries }, () => new ColdMeter());
+    coldPerSecond = rate / entries;
+  },
+);
+
+When("all of them press for {int} seconds", (seconds: number) => {
+  for (let nowMillis = 0; nowMillis < seconds * 1000; nowMillis += 5) {
+    for (const meter of meters) {
+      if (!meter.allows(nowMillis, { perSecond: coldPerSecond })) continue;
+      meter.take();
+      coldTimes.push(nowMillis);
+    }
+  }
+});
+
+Then("no second holds more than {int} requests", (most: number) => {
+  assert.ok(coldTimes.length >= 10, "requests were sent at all");
+  for (const start of coldTimes) {
+    const count = coldTimes.filter((t) => t >= start && t < start + 1000);
+    assert.ok(count.length <= most, `from ${start}: ${count.length}`);
+  }
+});
+
+Then("random orders of a target's rows end with its newest state", () => {
+  const rows = [1, 2, 3, 4, 5, 6].map((version) => ({
+    id: "t",
+    version,
+    record: version % 3 === 0
+      ? undefined
+      : record("t", { draining: version === 5 }),
+  }));
+  fc.assert(
+    fc.property(
+      fc.shuffledSubarray(rows, { minLength: 1 }),
+      (order) => {
+        const book = new TargetBook();
+        for (const row of order) {
+          book.apply(row, { nowMillis: 0, storeBackAtMillis: -Infinity });
+        }
+        const newest = [...order].sort((a, b) => b.version - a.version)[0];
+        const target = book.get("t");
+        assert.equal(target !== undefined, newest.record !== undefined);
+        assert.equal(target?.record.draining, newest.record?.draining);
+      },
+    ),
+    { seed },
+  );
+});
+
+let book: TargetBook;
+const lapseMillis = 50_000;
+
+function dropRecord(storeBackAtMillis: number): void {
+  book = new TargetBook();
+  const times = { nowMillis: 0, storeBackAtMillis: -Infinity };
+  book.apply({ id: "t", version: 1, record: record("t") }, times);
+  book.apply({ id: "t", version: 2, record: undefined }, {
+    nowMillis: lapseMillis,
+    storeBackAtMillis,
+  });
+}
+
+Given(
+  "a target whose record disappears right after the store is back",
+  () => dropRecord(lapseMillis - 10),
+);
+
+Given(
+  "a target whose record disappears while the store is well",
+  () => dropRecord(-Infinity),
+);
+
+Then("it is usable for 2 seconds and gone after that", () => {
+  assert.equal(lapseGraceMillis, 2000);
+  book.expire(lapseMillis + 1900);
+  assert.equal(book.get("t")?.isLeaving(), false);
+  assert.deepEqual(book.expire(lapseMillis + 2000), ["t"]);
+  assert.equal(book.get("t"), undefined);
+});
+
+Then("it is not usable any more", () => {
+  assert.equal(book.get("t"), undefined);
+  assert.equal(book.ofService("s").length, 0);
+});
+
+Given("a target that ran requests for object {string}", (object: string) => {
+  book = new TargetBook();
+  book.apply({ id: "t", version: 1, record: record("t") }, {
+    nowMillis: 0,
+    storeBackAtMillis: -Infinity,
+  });
+  book.get("t")?.noteSent(object, 10);
+  assert.equal(book.get("t")?.isWarmFor(object, 20), true);
+});
+
+When(
+  "it registers again with another start and {int} s of warm-up",
+  (seconds: number) => {
+    const again = record("t", {
+      bornMillis: 2,
+      warmupLeftMillis: seconds * 1000,
+    });
+    book.apply({ id: "t", version: 2, record: again }, {
+      nowMillis: 100,
+      storeBackAtMillis: -Infinity,
+    });
+  },
+);
+
+Then("it is cold and not warm for {string}", (object: string) => {
+  assert.equal(book.get("t")?.isCold(2000), true);
+  assert.equal(book.get("t")?.isWarmFor(object, 200), false);
+});
+
+let targets: TargetBelief[] = [];
+let homes: ObjectHomes;
+let objectCount = 0;
+
+function place(object: string, nowMillis: number, roundTripMillis = 1) {
+  homes = findHomes(object, targets, (target) => target.record.slots);
+  const estimate = new ServiceEstimate({ objectiveMillis: 300 });
+  for (let i = 0; i < 50; i++) {
+    estimate.note(60, { warm: true });
+    estimate.note(200, { warm: false });
+  }
+  return placeRequest(targets, {
+    object,
+    nowMillis,
+    estimate,
+    objectiveLeftMillis: 300,
+    roundTripMillis: () => roundTripMillis,
+    homes,
+    isAllowed: () => true,
+    coldPerSecond: () => 0,
+    exclude: new Set(),
+  });
+}
+
+Given(
+  "{int} targets and {int} objects at half of the slots",
+  (count: number, objects: number) => {
+    targets = Array.from({ length: count }, (_, i) => belief(`target-${i}`));
+    objectCount = objects;
+  },
+);
+
+Then(
+  "each object's requests reach at most {int} targets and {int} in 10 its first home",
+  (most: number, tenths: number) => {
+    const random = seededRandom(seed);
+    const reached = new Map<string, Set<string>>();
+    const running: { target: TargetBelief; endMillis: number }[] = [];
+    const slots = targets.length * 3;
+    let atHome = 0;
+    const requests = 6000;
+    // Work of 60 ms on half of the slots.
+    const gapMillis = 60 / (slots / 2);
+    for (let i = 0; i < requests; i++) {
+      const nowMillis = i * gapMillis;
+      for (const job of running.filter((j) => j.endMillis <= nowMillis)) {
+        job.target.noteEnded();
+        running.splice(running.indexOf(job), 1);
+      }
+      const object = `object-${Math.floor(random() * objectCount)}`;
+      const placement = place(object, nowMillis);
+      assert.equal(placement.kind, "send");
+      if (placement.kind !== "send") continue;
+      const { target } = placement;
+      target.noteSent(object, nowMillis);
+      running.push({ target, endMillis: nowMillis + 60 });
+      if (target === homes.first) atHome++;
+      const seen = reached.get(object) ?? new Set();
+      reached.set(object, seen.add(target.record.id));
+    }
+    const widest = Math.max(...[...reached.values()].map((set) => set.size));
+    assert.ok(widest <= most, `widest ${widest}`);
+    assert.ok(atHome >= requests * tenths / 10, `at home ${atHome}`);
+  },
+);
+
+Given("a full first home and free other targets", () => {
+  targets = Array.from({ length: 4 }, (_, i) => belief(`target-${i}`));
+  place("o", 0);
+  for (let i = 0; i < 12; i++) homes.first?.noteSent("o", 0);
+});
+
+Then("the request goes to a free target", () => {
+  const placement = place("o", 10);
+  assert.equal(placement.kind, "send");
+  assert.notEqual(placement.kind === "send" && placement.target, homes.first);
+});
+
+let share: RegionShare;
+
+Given("a region with a sixth of the slots at full load", () => {
+  share = new RegionShare();
+});
+
+Then(
+  "its share of homes elsewhere grows by at most {float} in any 2 seconds",
+  (most: number) => {
+    const shares: number[] = [];
+    for (let i = 0; i < 600; i++) {
+      share.update({ inFlight: 9, slots: 6 }, { inFlight: 3, slots: 30 }, i * 50);
+      shares.push(share.share);
+    }
+    assert.ok(shares[shares.length - 1] > 0.5, `${shares.at(-1)}`);
+    for (let i = 40; i < shares.length; i++) {
+      assert.ok(shares[i] - shares[i - 40] <= most + 1e-9);
+    }
+  },
+);
+
+const lateRequest = {
+  waitMillis: 0,
+  serviceMillis: 500,
+  leftMillis: 1000,
+  objectiveLeftMillis: 300,
+  random: 0,
+};
+
+Then(
+  "a late request is accepted at load {float} and refused at load {float}",
+  (low: number, high: number) => {
+    assert.equal(admitRequest({ ...lateRequest, load: low }).kind, "accept");
+    assert.equal(admitRequest({ ...lateRequest, load: high }).kind, "refuse");
+  },
+);
+
+Then(
+  "a request with {int} ms left behind a line of {int} s is refused with a Retry-After of at least {float} s",
+  (leftMillis: number, lineSeconds: number, retrySeconds: number) => {
+    const admission = admitRequest({
+      waitMillis: lineSeconds * 1000,
+      serviceMillis: 60,
+      leftMillis,
+      objectiveLeftMillis: -100,
+      load: 0.2,
+      random: 0,
+    });
+    assert.equal(admission.kind, "refuse");
+    assert.ok(
+      admission.kind === "refuse" &&
+        admission.retryAfterMillis >= retrySeconds * 1000,
+    );
+  },
+);
+
+interface NamedWaiting {
+  name: string;
+  priority: number;
+  objectiveAtMillis: number;
+  arrivedAtMillis: number;
+}
+let line: WaitLine<NamedWaiting>;
+
+Given("a line with a late, an urgent and an ordinary request", () => {
+  line = new WaitLine();
+  const add = (name: string, priority: number, objectiveAtMillis: number) =>
+    line.add({ name, priority, objectiveAtMillis, arrivedAtMillis: 0 });
+  add("late", 0, 50);
+  add("ordinary", 2, 400);
+  add("urgent", 1, 500);
+});
+
+Then("they leave it as urgent, ordinary, late", () => {
+  const names = [0, 1, 2].map(() => line.take(100, { workMillis: 60 })?.name);
+  assert.deepEqual(names, ["urgent", "ordinary", "late"]);
+  assert.equal(line.take(100, { workMillis: 60 }), undefined);
+});
+
+function entry(id: string, dataCentre: string, region: string): EntryRecord {
+  return {
+    id,
+    incarnation: 1,
+    dataCentre,
+    region,
+    callerAddress: `${id}:1`,
+    peerAddress: `${id}:2`,
+    stateAddress: `${id}:3`,
+  };
+}
+
+Then(
+  "a data centre with two entries names both, and one with a single entry names its region",
+  () => {
+    const live = [
+      entry("a", "a1", "a"),
+      entry("b", "a1", "a"),
+      entry("c", "a2", "a"),
+      entry("d", "b1", "b"),
+    ];
+    const ask = (dataCentre: string, region: string) =>
+      nameEntries({ dataCentre, region }, live).sort();
+    assert.deepEqual(ask("a1", "a"), ["a:1", "b:1"]);
+    assert.deepEqual(ask("a2", "a"), ["a:1", "b:1", "c:1"]);
+    assert.deepEqual(ask("c1", "c"), ["a:1", "b:1", "c:1", "d:1"]);
+  },
+);
+
+let members: MemberView;
+const heard = { serving: true, inFlight: new Map([["t", 2]]) };
+
+Given("two entries that were heard", () => {
+  members = new MemberView();
+  members.hear(entry("a", "a1", "a"), heard, 0);
+  members.hear(entry("b", "a1", "a"), heard, 0);
+});
+
+When("one is silent for {float} s", (seconds: number) => {
+  members.hear(entry("b", "a1", "a"), heard, seconds * 1000);
+});
+
+Then("only the other is named", () => {
+  const named = members.serving(1600).map(({ record }) => record.id);
+  assert.deepEqual(named, ["b"]);
+  assert.equal(members.inFlightAt("t", 1600), 2);
+  assert.equal(members.count, 3, "the silent one still counts");
+});
+
+Given("an entry that was heard in its second life", () => {
+  members = new MemberView();
+  members.hear({ ...entry("a", "a1", "a"), incarnation: 2 }, heard, 0);
+});
+
+When("a heartbeat of its first life arrives", () => {
+  const earlier = { serving: false, inFlight: new Map() };
+  assert.equal(members.hear(entry("a", "a1", "a"), earlier, 10), false);
+});
+
+Then("it still counts with its second life", () => {
+  assert.equal(members.serving(20)[0].record.incarnation, 2);
+});
