Tests of the gateway over real sockets

Change: an in-memory state store and a scripted target as stand-ins, 29 scenarios. With the check of an end without a length taken out, the scenario of an answer that is reset at its end fails.

--- /dev/null
+++ b/packages/gateway/features/gateway.feature
@@ -0,0 +1,168 @@
+Feature: The gateway over real sockets
+  Background:
+    Given a store with a route of each kind
+
+  Scenario: A request reaches a target with the time that is left, and its answer comes back unchanged
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 200 with the target's body and signature
+    And "t1" saw its own id and at most 900 ms
+
+  Scenario Outline: Requests beyond the rules are refused with the proper status
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends <what>
+    Then the answer is <status>
+    And "t1" saw 0 requests
+
+    Examples:
+      | what                | status |
+      | an unknown path     | 404    |
+      | too long headers    | 431    |
+      | too long a body     | 413    |
+
+  Scenario: An entry without any state says that nothing ran
+    Given an entry "e1" that can't reach the store
+    When a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 503 with a Retry-After
+
+  Scenario: An idempotent request goes to another target when its connection breaks
+    Given a target "t1" that closes without an answer
+    And a target "t2" that answers
+    And an entry "e1" that may repeat
+    When a caller of "e1" gets "/read/x" 5 times in turn
+    Then each answer is 200 with its own body
+    And "t1" saw at least 1 request
+
+  Scenario: An at-most-once request is not repeated when its connection breaks
+    Given a target "t1" that closes without an answer
+    And a target "t2" that closes without an answer
+    And an entry "e1" that may repeat
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+    And the targets saw at most 1 requests
+
+  Scenario: An at-most-once request that no target ran is refused with a Retry-After
+    Given a target "t1" that refuses without running
+    And a target "t2" that refuses without running
+    And an entry "e1" that may repeat
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 503 with a Retry-After
+    And the targets saw at most 2 requests
+
+  Scenario: A target's own 503 that may have run is no promise
+    Given a target "t1" that answers 503 after running
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+
+  Scenario Outline: A spoiled answer never looks like a success
+    Given a target "t1" that <flaw>
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+
+    Examples:
+      | flaw                                            |
+      | answers without a signature                     |
+      | answers with an encoding                        |
+      | answers another request                         |
+      | resets in the middle of an answer with a length |
+      | resets at the end of an answer without a length |
+      | sends bytes that are no answer                  |
+
+  Scenario: An answer that ends with its connection is passed on whole
+    Given a target "t1" that answers without a length
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 200 with the target's body and signature
+
+  Scenario: A second answer on a connection reaches nobody
+    Given a target "t1" that answers twice
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" 5 times in turn
+    Then each answer is 200 with its own body
+
+  Scenario: A request that lasts too long is answered at the route's timeout, and its target is told
+    Given a target "t1" that never answers
+    And an entry "e1"
+    When a caller of "e1" gets "/brief/x" with 5000 ms left
+    Then the answer is 504 after the route's 300 ms
+    And the targets' connections were dropped
+
+  Scenario: A caller that leaves frees its target
+    Given a target "t1" that never answers
+    And an entry "e1"
+    When a caller of "e1" leaves after 100 ms
+    Then the targets' connections were dropped
+
+  Scenario: Pipelined requests are answered in order
+    Given a target "t1" that answers slowly at first
+    And an entry "e1"
+    When a caller of "e1" pipelines 4 requests
+    Then 4 answers come in order
+
+  Scenario: A draining target gets nothing new
+    Given a target "t1" that answers
+    And a target "t2" that answers
+    And an entry "e1"
+    When "t1" reports that it drains
+    And a caller of "e1" gets "/read/x" 10 times in turn
+    Then "t1" saw 0 requests
+
+  Scenario: A target in an evacuated data centre gets nothing until that is over
+    Given a target "t1" that answers
+    And an entry "e1"
+    When data centre "a1" is evacuated
+    And a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 503 with a Retry-After
+    And "t1" saw 0 requests
+
+  Scenario: A configuration takes effect and an older one never comes back
+    Given a target "t1" that answers
+    And an entry "e1"
+    When revision 9 drops the route "/read/"
+    And revision 8 with all routes is written again
+    And a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 404
+
+  Scenario: Lost history costs nothing
+    Given a target "t1" that answers
+    And an entry "e1"
+    When the store forgets its history while "t1" drains
+    And a caller of "e1" gets "/read/x" with 900 ms left
+    Then "t1" saw 0 requests
+
+  Scenario: An entry that the store refuses learns from another entry
+    Given a target "t1" that answers
+    And an entry "e1"
+    And an entry "e2"
+    When the store refuses "e2" and revision 9 drops the route "/read/"
+    Then "e2" answers 404 to "/read/x" within 3 s
+
+  Scenario: An entry that starts while the store is away borrows its state
+    Given a target "t1" that answers
+    And an entry "e1"
+    And an entry "e2" that can't reach the store, with "e1" as seed
+    Then "e2" answers 200 to "/read/x" within 3 s
+
+  Scenario: Entries that start together name each other
+    Given a target "t1" that answers
+    And entries "e1" and "e2" that start together
+    Then the directories of both name both within 3 s
+
+  Scenario: A stop finishes what runs, and callers are told to leave
+    Given a target "t1" that answers after 400 ms
+    And an entry "e1"
+    When "e1" stops while a caller waits for "/read/x"
+    Then the answer is 200 and closes the connection
+    And "e1" is not ready any more
+
+  Scenario: A request that crashes its targets is held back
+    Given a target "t1" that crashes
+    And a target "t2" that crashes
+    And a target "t3" that answers
+    And an entry "e1" that may repeat
+    When a caller of "e1" gets the same poisonous request 6 times
+    Then at most 2 targets crashed and the last answer is 503
--- /dev/null
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -0,0 +1,223 @@
+/**
+ * Gateways on loopback ports with scripted targets and an in-memory store.
+ */
+import { createServer } from "node:net";
+import { request } from "undici";
+import { createSilentLogger } from "@bamboolane/logger/create_logger";
+import { createSilentMetrics } from "@bamboolane/metrics/create_metrics";
+import type { CallerDialect } from "@bamboolane/gateway/caller_dialect";
+import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
+import {
+  type RunningGateway,
+  startGateway,
+} from "@bamboolane/gateway/start_gateway";
+import { StateTable } from "@bamboolane/gateway/state_store";
+import { MemoryStateStore } from "@bamboolane/standins/memory_state_store";
+import {
+  type Script,
+  type ScriptedTarget,
+  startScriptedTarget,
+} from "@bamboolane/standins/scripted_target";
+import {
+  Repeat,
+  type SteeringConfig,
+  type SteeringRoute,
+} from "@bamboolane/steering/steering_config";
+
+/** Header names that only the tests use. */
+export const testDialect: CallerDialect = {
+  requestIdHeader: "test-request",
+  deadlineHeader: "test-deadline",
+  signatureHeader: "test-signature",
+  expectTargetHeader: "test-target",
+  loadHeader: "test-load",
+  notRunHeader: "test-not-run",
+  warmupHeader: "test-warmup",
+  otherTargetStatus: 421,
+  readinessPath: "/ready",
+  directoryPath: "/entries",
+  readObject: (cookies) => cookies,
+  readLoad: () => undefined,
+  readPlace: (query) => ({
+    region: query.get("region") ?? "",
+    dataCentre: query.get("place") ?? "",
+  }),
+  formatEntries: (addresses, ttlMillis) =>
+    JSON.stringify({ addresses, ttlMillis }),
+};
+
+function route(
+  prefix: string,
+  repeat: Repeat,
+  timeoutMillis: number,
+): SteeringRoute {
+  return {
+    name: prefix,
+    host: "test.example",
+    prefix,
+    repeat,
+    timeoutMillis,
+    objectiveMillis: 200,
+    attempts: 2,
+    priority: 1,
+    affinity: false,
+    allowedRegions: [],
+    parts: [{ service: "s", weight: 1 }],
+  };
+}
+
+/** A configuration with a route of each kind, without those of `dropped`. */
+export function testConfig(
+  revision: number,
+  dropped: readonly string[] = [],
+): SteeringConfig {
+  const routes = [
+    route("/read/", Repeat.idempotent, 2000),
+    route("/write/", Repeat.atMostOnce, 2000),
+    route("/brief/", Repeat.idempotent, 300),
+  ];
+  return {
+    revision,
+    routes: routes.filter(({ prefix }) => !dropped.includes(prefix)),
+    services: [{
+      name: "s",
+      healthPath: "/health",
+      maxConnections: 50,
+      warmupMillis: 500,
+      warmupPerSecond: 10,
+    }],
+    limits: {
+      headerBytes: 4096,
+      bodyBytes: 10_000,
+      headerTimeoutMillis: 2000,
+      idleTimeoutMillis: 5000,
+    },
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+/** An entry with its settings. */
+export interface TestEntry {
+  settings: GatewaySettings;
+  gateway: RunningGateway;
+}
+
+/** Everything that one scenario started. */
+export class TestGateway {
+  readonly store = new MemoryStateStore();
+  readonly entries = new Map<string, TestEntry>();
+  readonly targets = new Map<string, ScriptedTarget>();
+
+  publish(config: SteeringConfig): void {
+    this.store.put(StateTable.operator, { kind: "config", config });
+  }
+
+  async addTarget(id: string, script: Script): Promise<void> {
+    const target = await startScriptedTarget({ script });
+    this.targets.set(id, target);
+    this.writeTarget(id, false);
+  }
+
+  writeTarget(id: string, draining: boolean): void {
+    const target = this.targets.get(id) as ScriptedTarget;
+    this.store.put(StateTable.targets, {
+      kind: "target",
+      id,
+      record: {
+        id,
+        service: "s",
+        address: target.address,
+        dataCentre: "a1",
+        slots: 3,
+        draining,
+        warmupLeftMillis: 0,
+        bornMillis: 1,
+      },
+    });
+  }
+
+  async addEntry(
+    id: string,
+    options: { down?: boolean; seeds?: string[]; mayRepeat?: boolean } = {},
+  ): Promise<void> {
+    if (options.down) this.store.setDown(id, true);
+    const [callers, readiness, directory, state, peers] = await Promise.all(
+      [1, 2, 3, 4, 5].map(async () => `127.0.0.1:${await freePort()}`),
+    );
+    const settings: GatewaySettings = {
+      instance: { id, dataCentre: "a1", region: "a" },
+      listen: { callers, readiness, directory, state, peers, metrics: "" },
+      storeAddress: "",
+      seeds: (options.seeds ?? []).map((seed) =>
+        this.settings(seed).listen.state
+      ),
+      dataCentres: { a1: "a", a2: "a", b1: "b" },
+      graceMillis: 1200,
+      lookupTtlMillis: 1000,
+      // A high ratio stands for requests that the entry served before.
+      retryBudget: {
+        ratio: options.mayRepeat ? 10 : 0,
+        allowance: 0,
+        windowMillis: 10_000,
+      },
+      log: { level: "info" },
+    };
+    const gateway = await startGateway({
+      settings,
+      dialect: testDialect,
+      store: this.store.connect(id),
+      log: createSilentLogger(),
+      metrics: createSilentMetrics(),
+    });
+    this.entries.set(id, { settings, gateway });
+    if (!options.down) {
+      await until(() => gateway.state.isComplete, `${id} has its state`);
+    }
+  }
+
+  settings(entry: string): GatewaySettings {
+    return (this.entries.get(entry) as TestEntry).settings;
+  }
+
+  /** Requests that reached the targets. */
+  get seenCount(): number {
+    return [...this.targets.values()].reduce((n, t) => n + t.seen.length, 0);
+  }
+
+  async namesOf(entry: string): Promise<string[]> {
+    const { directory } = this.settings(entry).listen;
+    const reply = await request(
+      `http://${directory}/entries?region=a&place=a1`,
+    );
+    const body = await reply.body.json() as { addresses?: string[] };
+    return (body.addresses ?? []).sort();
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(
+      [...this.entries.values()].map(({ gateway }) => gateway.stop()),
+    );
+    await Promise.all([...this.targets.values()].map((t) => t.close()));
+  }
+}
+
+/** Waits until `check` holds; fails after 5 s. */
+export async function until(
+  check: () => boolean | Promise<boolean>,
+  what: string,
+): Promise<void> {
+  const endMillis = performance.now() + 5000;
+  while (!await check()) {
+    if (performance.now() > endMillis) {
+      throw new Error(`not within 5 s: ${what}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -70,7 +70,13 @@
 
 Then(
   "{string} of {string} goes to route {string} and {string} to route {string}",
-  (first: string, host: string, long: string, second: string, short: string) => {
+  (
+    first: string,
+    host: string,
+    long: string,
+    second: string,
+    short: string,
+  ) => {
     assert.equal(index.match(host, first)?.name, long);
     assert.equal(index.match(`${host.toUpperCase()}:80`, second)?.name, short);
   },
@@ -146,7 +152,10 @@
       const inWindow = (time: number) => time >= start && time < start + 10_000;
       const repeats = repeatTimes.filter(inWindow).length;
       const requests = requestTimes.filter(inWindow).length;
-      assert.ok(repeats <= ratio * requests + allowance, `${start}: ${repeats}`);
+      assert.ok(
+        repeats <= ratio * requests + allowance,
+        `${start}: ${repeats}`,
+      );
     }
   },
 );
@@ -373,7 +382,11 @@
   (most: number) => {
     const shares: number[] = [];
     for (let i = 0; i < 600; i++) {
-      share.update({ inFlight: 9, slots: 6 }, { inFlight: 3, slots: 30 }, i * 50);
+      share.update(
+        { inFlight: 9, slots: 6 },
+        { inFlight: 3, slots: 30 },
+        i * 50,
+      );
       shares.push(share.share);
     }
     assert.ok(shares[shares.length - 1] > 0.5, `${shares.at(-1)}`);
