--- /dev/null
+++ b/packages/logger/features/bounded_output_steps.ts
@@ -0,0 +1,56 @@
+/**
+ * Steps for the bounded output.
+ */
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { BoundedOutput } from "@bamboolane/logger/bounded_output";
+
+let output: BoundedOutput;
+let received = "";
+let release: (() => void) | undefined;
+
+Given("an output whose reader stops", () => {
+  received = "";
+  output = new BoundedOutput((bytes, done) => {
+    release = () => {
+      received += Buffer.from(bytes).toString();
+      done(null, bytes.byteLength);
+    };
+  });
+});
+
+Given("an output that takes {int} bytes at a time", (size: number) => {
+  received = "";
+  output = new BoundedOutput((bytes, done) => {
+    const taken = bytes.subarray(0, size);
+    received += Buffer.from(taken).toString();
+    setImmediate(() => done(null, taken.byteLength));
+  });
+});
+
+When("{int} lines are written", (count: number) => {
+  for (let i = 0; i < count; i++) {
+    output.add(`line ${i} ${"x".repeat(80)}\n`);
+  }
+});
+
+Then("writing returned and lines were dropped and counted", () => {
+  assert.ok(output.droppedLines > 10_000, `${output.droppedLines}`);
+});
+
+Then("once the reader goes on, a note tells how many", () => {
+  const dropped = output.droppedLines;
+  for (let i = 0; i < 20_000; i++) release?.();
+  output.add("after\n");
+  for (let i = 0; i < 10; i++) release?.();
+  assert.ok(received.includes(`event=log_lines_dropped lines=${dropped}\n`));
+  assert.ok(received.endsWith("after\n"));
+});
+
+Then("all {int} lines arrive in order", async (count: number) => {
+  while (!received.includes(`line ${count - 1} ${"x".repeat(80)}\n`)) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const numbers = [...received.matchAll(/line (\d+) /g)].map(([, n]) => +n);
+  assert.deepEqual(numbers, Array.from({ length: count }, (_, i) => i));
+});
--- /dev/null
+++ b/packages/metrics/features/deferred_metrics_steps.ts
@@ -0,0 +1,57 @@
+/**
+ * Steps for deferred metrics.
+ */
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+  createSilentMetrics,
+  type Metrics,
+} from "@bamboolane/metrics/create_metrics";
+import { deferMetrics } from "@bamboolane/metrics/deferred_metrics";
+
+let metrics: Metrics;
+let counted = 0;
+let recorded = 0;
+let loaded: Promise<void>;
+
+Given("metrics that load after {int} ms", (delayMillis: number) => {
+  loaded = new Promise((resolve) => {
+    metrics = deferMetrics({
+      delayMillis,
+      load: () => {
+        setImmediate(resolve);
+        return Promise.resolve({
+          ...createSilentMetrics(),
+          count: (_name, amount) => counted += amount,
+          record: () => recorded++,
+        });
+      },
+      onError: (error) => assert.fail(error),
+    });
+  });
+});
+
+function countRequests(count: number): void {
+  for (let i = 0; i < count; i++) {
+    metrics.count("bamboolane_requests", 1, { service: "s", result: "ok" });
+    metrics.record("bamboolane_request_duration_millis", 5, { service: "s" });
+  }
+}
+
+When(
+  "{int} requests are counted before and {int} after that",
+  async (before: number, after: number) => {
+    countRequests(before);
+    assert.equal(counted, 0);
+    await loaded;
+    countRequests(after);
+  },
+);
+
+Then(
+  "the loaded metrics counted {int} and recorded {int}",
+  (count: number, records: number) => {
+    assert.equal(counted, count);
+    assert.equal(recorded, records);
+  },
+);
