--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -4,8 +4,8 @@
   ["errors"],
   ["logger", "metrics", "platform", "wire", "config"],
   ["route"],
-  ["locate", "admit", "membership", "agree", "idempotency", "report"],
-  ["entry"],
+  ["locate", "admit", "membership", "agree", "idempotency", "report", "steering"],
+  ["entry", "gateway"],
   ["cli"],
 ];
 const above = (index) => layers.slice(index).flat().join("|");
@@ -32,15 +32,21 @@
       from: { path: "^packages/" },
       to: { path: "^(standins|tools)/" },
     },
+    {
+      name: "only-the-adapter-knows-the-platform",
+      severity: "error",
+      from: { path: "^(packages|standins|tools)/" },
+      to: { path: "^platform/" },
+    },
     {
       name: "same-layer-packages-stay-apart",
       severity: "error",
       from: {
         path:
-          "^packages/(locate|admit|membership|agree|idempotency|report)/src",
+          "^packages/(locate|admit|membership|agree|idempotency|report|steering)/src",
       },
       to: {
-        path: "^packages/(locate|admit|membership|agree|idempotency|report)/",
+        path: "^packages/(locate|admit|membership|agree|idempotency|report|steering)/",
         pathNot: "^packages/$1/",
       },
     },
