Under full load requests keep to their object's homes

Each stray made more work than it found room. Change: above a load of 0.8 only an object's two homes take its requests, unless neither can.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -4,7 +4,15 @@
   ["errors"],
   ["logger", "metrics", "platform", "wire", "config"],
   ["route"],
-  ["locate", "admit", "membership", "agree", "idempotency", "report", "steering"],
+  [
+    "locate",
+    "admit",
+    "membership",
+    "agree",
+    "idempotency",
+    "report",
+    "steering",
+  ],
   ["entry", "gateway"],
   ["cli"],
 ];
@@ -46,7 +54,8 @@
           "^packages/(locate|admit|membership|agree|idempotency|report|steering)/src",
       },
       to: {
-        path: "^packages/(locate|admit|membership|agree|idempotency|report|steering)/",
+        path:
+          "^packages/(locate|admit|membership|agree|idempotency|report|steering)/",
         pathNot: "^packages/$1/",
       },
     },
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -176,6 +176,7 @@
       object: request.object,
       nowMillis,
       estimate: this.#estimate(request),
+      load: this.#lane(request.service).share.load,
       objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
       roundTripMillis: (target) => this.#roundTrips.read(target),
       homes: request.object === undefined
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -308,6 +308,7 @@
     object,
     nowMillis,
     estimate,
+    load: 0.5,
     objectiveLeftMillis: 300,
     roundTripMillis: () => roundTripMillis,
     homes,
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -16,6 +16,8 @@
   object: string | undefined;
   nowMillis: number;
   estimate: ServiceEstimate;
+  /** Requests at the service's targets, in parts of their slots. */
+  load: number;
   /** Time left to meet the objective; negative where it is missed. */
   objectiveLeftMillis: number;
   /** Round trip to the target's data centre. Unit: milliseconds. */
@@ -56,6 +58,12 @@
 const strayCost = { second: 0.5, other: 2.5 } as const;
 /** What work costs the requests behind it, in parts of the work itself. */
 const pressureWeight = 0.5;
+/**
+ * Load above which requests keep to their object's homes: when all targets are
+ * full, each stray makes more work than it finds room, and targets forget
+ * their objects all round.
+ */
+const keepHomeLoad = 0.8;
 /** What a millisecond past the objective costs: an answer loses most of its value there. */
 const lateWeight = 4;
 /** Cost of a certain failure, in parts of the mean work time. */
@@ -65,6 +73,14 @@
 /** Usual work on a cold target, relative to a warm one. */
 const coldWorkFactor = 2;
 
+/** False where the object has no home that takes requests now. */
+function hasUsableHome({ homes, nowMillis, exclude }: PlacementQuestion) {
+  return [homes.first, homes.second].some((home) =>
+    home !== undefined && !home.isPaused(nowMillis) &&
+    !home.isCold(nowMillis) && !exclude.has(home.record.id)
+  );
+}
+
 function homeWarmthOf(
   target: TargetBelief,
   { homes }: PlacementQuestion,
@@ -86,7 +102,8 @@
   targets: readonly TargetBelief[],
   question: PlacementQuestion,
 ): Placement {
-  const { nowMillis, estimate, object } = question;
+  const { nowMillis, estimate, homes } = question;
+  const keepsHome = question.load > keepHomeLoad && hasUsableHome(question);
   const meanMillis = estimate.meanMillis();
   let best: TargetBelief | undefined;
   let bestCost = Infinity;
@@ -112,10 +129,12 @@
         continue;
       }
     }
+    const isHome = target === homes.first || target === homes.second;
+    if (keepsHome && !isHome) continue;
     const inFlight = target.inFlight(nowMillis);
     slots += target.record.slots;
     const ahead = Math.max(0, inFlight - target.record.slots + 1);
-    const warm = target.isWarmFor(object, nowMillis);
+    const warm = target.isWarmFor(question.object, nowMillis);
     const warmth = warm ? 1 : homeWarmthOf(target, question);
     const slowness = target.slowness * (cold ? coldWorkFactor : 1);
     const waitMillis = ahead * meanMillis * slowness / target.record.slots;
