Ask refused callers back when room can be expected

Cause: under lasting load a refusal asked its caller back after 100 ms at the median, where there was no more room than before: two fifths of them were refused again. Change: the pause is at least the time in which one more request ends, up to a third of the time that the caller has.

--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -52,7 +52,12 @@
     Then a late request is accepted at load 0.2 and refused at load 0.9
 
   Scenario: What can't end before its deadline is refused at once
-    Then a request with 400 ms left behind a line of 2 s is refused with a Retry-After of at least 1.6 s
+    Then a request with 6000 ms left behind a line of 8 s is refused with a Retry-After of at least 1.9 s
+    And a request with 400 ms left behind a line of 2 s is refused with a Retry-After of at least 0.13 s
+
+  Scenario: Under full load requests keep to their object's homes
+    Given 12 targets of which all but an object's homes are free
+    Then the request is full at load 0.9 and goes elsewhere at load 0.5
 
   Scenario: Requests that can meet their objective go first, then the oldest
     Given a line with a late, an urgent and an ordinary request
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -297,7 +297,7 @@
 let homes: ObjectHomes;
 let objectCount = 0;
 
-function place(object: string, nowMillis: number, roundTripMillis = 1) {
+function place(object: string, nowMillis: number, load = 0.5) {
   homes = findHomes(object, targets, (target) => target.record.slots);
   const estimate = new ServiceEstimate({ objectiveMillis: 300 });
   for (let i = 0; i < 50; i++) {
@@ -308,9 +308,9 @@
     object,
     nowMillis,
     estimate,
-    load: 0.5,
+    load,
     objectiveLeftMillis: 300,
-    roundTripMillis: () => roundTripMillis,
+    roundTripMillis: () => 1,
     homes,
     isAllowed: () => true,
     coldPerSecond: () => 0,
@@ -372,6 +372,26 @@
   assert.notEqual(placement.kind === "send" && placement.target, homes.first);
 });
 
+Given(
+  "{int} targets of which all but an object's homes are free",
+  (count: number) => {
+    targets = Array.from({ length: count }, (_, i) => belief(`target-${i}`));
+    place("o", 0);
+    for (let i = 0; i < 12; i++) {
+      homes.first?.noteSent("o", 0);
+      homes.second?.noteSent("o", 0);
+    }
+  },
+);
+
+Then(
+  "the request is full at load {float} and goes elsewhere at load {float}",
+  (high: number, low: number) => {
+    assert.equal(place("o", 10, high).kind, "full");
+    assert.equal(place("o", 10, low).kind, "send");
+  },
+);
+
 let share: RegionShare;
 
 Given("a region with a sixth of the slots at full load", () => {
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -33,6 +33,8 @@
 const usableShareOfDeadline = 0.85;
 /** Load below which a free slot is for whoever comes, also where the answer will be late. */
 const busyLoad = 0.45;
+/** Part of the time left that a caller may spend before it comes back. */
+const usableShareForReturn = 1 / 3;
 const leastRetryAfterMillis = 100;
 /** Longest time after which a refused caller is asked back. */
 const mostRetryAfterMillis = 3000;
@@ -49,14 +51,18 @@
     ? Math.min(usableMillis, objectiveLeftMillis * objectiveTolerance)
     : usableMillis;
   if (expectedMillis <= boundMillis) return { kind: "accept" };
-  // What lies beyond the bound has to be worked off before there is room.
+  // Before there is room, what lies beyond the bound has to be worked off, and
+  // under lasting load at least one more request ends first.
   const excessMillis = expectedMillis - boundMillis;
+  const roomMillis = Math.max(excessMillis, question.serviceMillis);
+  const retryAfterMillis = Math.min(
+    roomMillis * (1 + question.random),
+    leftMillis * usableShareForReturn,
+    mostRetryAfterMillis,
+  );
   return {
     kind: "refuse",
-    retryAfterMillis: Math.min(
-      mostRetryAfterMillis,
-      Math.max(leastRetryAfterMillis, excessMillis * (1 + question.random)),
-    ),
+    retryAfterMillis: Math.max(leastRetryAfterMillis, retryAfterMillis),
   };
 }
 
