--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -39,7 +39,7 @@
 const noConfigRetryMillis = 500;
 /** A request that crashed several targets may come back when the watch forgets it. */
 const heldBackRetryMillis = 10_000;
-/** Time for an answer's last bytes before its connection is closed. */
+/** Limits until a configuration is known. */
 const limitsBeforeConfig: CallerLimits = {
   headerBytes: 16_384,
   bodyBytes: 1_048_576,
