--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -152,6 +152,56 @@
     And entries "e1" and "e2" that start together
     Then the directories of both name both within 3 s
 
+  Scenario: Two entries of a data centre follow the store, and the others learn from them
+    Given a target "t1" that answers
+    And an entry "e1"
+    And an entry "e2"
+    And an entry "e3"
+    And an entry "e4"
+    Then only "e1" and "e2" watch the store within 4 s
+    When revision 9 drops the route "/read/"
+    Then "e4" answers 404 to "/read/x" within 1 s
+    When "t1" reports that it drains
+    Then "e3" knows within 1 s that "t1" drains
+
+  Scenario: When the entries that follow the store lose it, others take over
+    Given a target "t1" that answers
+    And an entry "e1"
+    And an entry "e2"
+    And an entry "e3"
+    And an entry "e4"
+    And only "e1" and "e2" watch the store within 4 s
+    When the store turns "e1" and "e2" away
+    Then only "e3" and "e4" watch the store within 4 s
+    When revision 9 drops the route "/read/"
+    Then "e1" answers 404 to "/read/x" within 1 s
+
+  Scenario: When the entries that follow the store stop, others take over
+    Given a target "t1" that answers
+    And an entry "e1"
+    And an entry "e2"
+    And an entry "e3"
+    And only "e1" and "e2" watch the store within 4 s
+    When "e1" falls silent
+    Then only "e2" and "e3" watch the store within 4 s
+
+  Scenario: Entries of other data centres are known from their relay
+    Given a target "t1" that answers
+    And an entry "e1" in data centre "a2"
+    And an entry "e2" in data centre "a2"
+    And an entry "e3"
+    Then the directory of "e3" names all 3 entries within 3 s
+    When "e1" falls silent
+    Then the directory of "e3" names "e2" and "e3" within 5 s
+
+  Scenario: A target whose record lapsed while the store was away stays in use when it is back
+    Given a target "t1" that answers
+    And an entry "e1"
+    When the store is away while the record of "t1" lapses
+    And the store is back for "e1"
+    Then "e1" answers 200 to "/read/x" for 1 s
+    And "t1" is gone for "e1" within 3 s
+
   Scenario: A stop finishes what runs, and callers are told to leave
     Given a target "t1" that answers after 400 ms
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -11,7 +11,13 @@
   type Script,
   type SeenRequest,
 } from "@bamboolane/standins/scripted_target";
-import { testConfig, TestGateway, until } from "./support/test_gateway.ts";
+import type { RunningGateway } from "@bamboolane/gateway/start_gateway";
+import {
+  testConfig,
+  type TestEntry,
+  TestGateway,
+  until,
+} from "./support/test_gateway.ts";
 
 interface Reply {
   status: number;
@@ -160,6 +166,11 @@
     system.addEntry(id, { down: true, seeds: [seed] }),
 );
 
+Given(
+  "an entry {string} in data centre {string}",
+  (id: string, dataCentre: string) => system.addEntry(id, { dataCentre }),
+);
+
 Given(
   "entries {string} and {string} that start together",
   async (first: string, second: string) => {
@@ -485,3 +496,111 @@
     assert.equal(lastReply().status, status);
   },
 );
+
+Then(
+  "only {string} and {string} watch the store within {int} s",
+  (first: string, second: string, _seconds: number) =>
+    until(
+      () => system.store.watchers().join() === `${first},${second}`,
+      `${first} and ${second} watch`,
+    ),
+);
+
+Then(
+  "{string} knows within {int} s that {string} drains",
+  async (entry: string, seconds: number, target: string) => {
+    const startMillis = performance.now();
+    const { state } = gatewayOf(entry);
+    await until(
+      () => state.targets.get(target)?.isLeaving() ?? false,
+      `${entry} knows`,
+    );
+    assert.ok(performance.now() - startMillis < seconds * 1000);
+  },
+);
+
+When(
+  "the store turns {string} and {string} away",
+  (first: string, second: string) => {
+    system.store.setDown(first, true);
+    system.store.setDown(second, true);
+  },
+);
+
+When("{string} falls silent", async (entry: string) => {
+  await gatewayOf(entry).stop();
+  system.entries.delete(entry);
+});
+
+function gatewayOf(entry: string): RunningGateway {
+  return (system.entries.get(entry) as TestEntry).gateway;
+}
+
+/** Callers' addresses that a directory should name. */
+function addressesOf(entries: Iterable<string>): string {
+  return [...entries].map((id) => system.settings(id).listen.callers)
+    .sort().join();
+}
+
+Then(
+  "the directory of {string} names all {int} entries within {int} s",
+  (entry: string, count: number, _seconds: number) =>
+    until(async () => {
+      const names = await system.namesOf(entry);
+      return names.length === count &&
+        names.join() === addressesOf(system.entries.keys());
+    }, `${entry} names all`),
+);
+
+Then(
+  "the directory of {string} names {string} and {string} within {int} s",
+  (entry: string, first: string, second: string, _seconds: number) =>
+    until(
+      async () =>
+        (await system.namesOf(entry)).join() === addressesOf([first, second]),
+      `${entry} names ${first} and ${second}`,
+    ),
+);
+
+When(
+  "the store is away while the record of {string} lapses",
+  async (target: string) => {
+    for (const entry of system.entries.keys()) {
+      system.store.setDown(entry, true);
+    }
+    system.store.put(StateTable.targets, {
+      kind: "target",
+      id: target,
+      record: undefined,
+    });
+    // The followers notice the outage before it ends.
+    await pause(100);
+  },
+);
+
+When("the store is back for {string}", async (entry: string) => {
+  const { state } = gatewayOf(entry);
+  const before = state.storeBackAtMillis;
+  system.store.setDown(entry, false);
+  await until(() => state.storeBackAtMillis > before, "the store is back");
+});
+
+Then(
+  "{string} answers {int} to {string} for {int} s",
+  async (entry: string, status: number, path: string, seconds: number) => {
+    const endMillis = performance.now() + seconds * 1000;
+    while (performance.now() < endMillis) {
+      assert.equal((await call(entry, path)).status, status);
+      await pause(50);
+    }
+  },
+);
+
+Then(
+  "{string} is gone for {string} within {int} s",
+  (target: string, entry: string, _seconds: number) =>
+    until(
+      () => gatewayOf(entry).state.targets.get(target) === undefined,
+      `${target} is gone`,
+    ),
+);
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -145,14 +145,19 @@
 
   async addEntry(
     id: string,
-    options: { down?: boolean; seeds?: string[]; mayRepeat?: boolean } = {},
+    options: {
+      down?: boolean;
+      seeds?: string[];
+      mayRepeat?: boolean;
+      dataCentre?: string;
+    } = {},
   ): Promise<void> {
     if (options.down) this.store.setDown(id, true);
     const [callers, readiness, directory, state, peers] = await Promise.all(
       [1, 2, 3, 4, 5].map(async () => `127.0.0.1:${await freePort()}`),
     );
     const settings: GatewaySettings = {
-      instance: { id, dataCentre: "a1", region: "a" },
+      instance: { id, dataCentre: options.dataCentre ?? "a1", region: "a" },
       listen: { callers, readiness, directory, state, peers, metrics: "" },
       storeAddress: "",
       seeds: (options.seeds ?? []).map((seed) =>
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -81,8 +81,14 @@
   state: GatewayState,
 ): Promise<Server> {
   const server = createServer((request, response) => {
-    if (request.url !== statePath) return writeJson(response, 404, "{}");
-    writeJson(response, 200, JSON.stringify({ rows: state.rows() }));
+    const [path, query] = (request.url ?? "/").split("?", 2);
+    if (path !== statePath) return writeJson(response, 404, "{}");
+    const asked = new URLSearchParams(query);
+    const delta = state.archive.after([
+      Number(asked.get("operator") ?? 0),
+      Number(asked.get("targets") ?? 0),
+    ]);
+    writeJson(response, 200, JSON.stringify(delta));
   });
   return listenOn(server, address);
 }
--- a/packages/gateway/src/follow_table.ts
+++ b/packages/gateway/src/follow_table.ts
@@ -1,7 +1,8 @@
 /**
- * Follows one table of the store: a full read, then changes as they come; a
- * full read again after a gap. Versions never go back: an answer that is
- * older than what is known comes from a stale replica and is asked again.
+ * Follows one table of the store: a full read, then changes as they come while
+ * it is this entry's duty; a full read again after a gap. Versions never go
+ * back: an answer that is older than what is known comes from a stale replica
+ * and is asked again.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { StateRow } from "@bamboolane/steering/steering_config";
@@ -12,7 +13,7 @@
   /** All rows of the table as of `version`. */
   onWhole(rows: StateRow[], version: number): void;
   onChanges(rows: StateRow[], version: number): void;
-  /** The store answers again, or no longer. */
+  /** The store answers again, told before the rows of the answer; or a call failed. */
   onReachable(reachable: boolean): void;
 }
 
@@ -22,6 +23,8 @@
   table: StateTable;
   sink: TableSink;
   log: EventLog;
+  /** True while this entry follows the table for its data centre. */
+  isOnDuty: () => boolean;
   random: () => number;
 }
 
@@ -32,6 +35,8 @@
 const longestRetryMillis = 800;
 /** Least time between two watches: bounds calls while many rows change. */
 const paceMillis = 150;
+/** How often an entry that isn't on duty looks whether it is. */
+const offDutyPollMillis = 100;
 
 /** Task that follows one table until it is stopped. */
 export class TableFollower {
@@ -50,9 +55,9 @@
     return this.#version;
   }
 
-  /** Takes over that a peer delivered the state as of `version`. */
+  /** Takes over that another entry delivered all rows up to `version`. */
   advance(version: number): void {
-    if (version > this.#version) this.#version = version;
+    if (this.#version >= 0 && version > this.#version) this.#version = version;
   }
 
   start(): void {
@@ -72,13 +77,14 @@
     let whole = true;
     while (!this.#stopped) {
       try {
-        if (whole) {
+        if (!this.#options.isOnDuty() && !whole) {
+          await pause(offDutyPollMillis);
+        } else if (whole) {
           whole = !await this.#readWhole();
           if (whole) await pause(firstRetryMillis);
         } else {
           whole = await this.#watch();
         }
-        this.#noteSuccess();
       } catch (error) {
         if (this.#stopped) return;
         this.#noteFailure(error as Error);
@@ -95,6 +101,7 @@
   async #readWhole(): Promise<boolean> {
     const { store, table, sink, log } = this.#options;
     const page = await store.read(table);
+    this.#noteSuccess();
     if (page.version < this.#version) {
       log.info("stale_read", {
         table,
@@ -114,6 +121,7 @@
     const result = await store.watch(table, this.#version, {
       waitMillis: watchMillis,
     });
+    this.#noteSuccess();
     switch (result.kind) {
       case "gap":
         log.info("history_gap", { table, version: this.#version });
@@ -141,6 +149,7 @@
 
   #noteFailure(error: Error): void {
     this.#failures++;
+    this.#options.sink.onReachable(false);
     if (this.#failures > 1) return;
     this.#options.log.warn("store_lost", {
       table: this.#options.table,
@@ -148,7 +157,6 @@
       version: this.#version,
       ageMillis: Math.round(performance.now() - this.#lastSuccessAtMillis),
     });
-    this.#options.sink.onReachable(false);
   }
 }
 
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -4,10 +4,12 @@
  */
 import { CrashWatch } from "@bamboolane/route/crash_watch";
 import type { EventLog } from "@bamboolane/logger/create_logger";
+import { AgreedShares } from "@bamboolane/steering/agreed_shares";
 import { RouteIndex } from "@bamboolane/steering/match_route";
 import { MemberView } from "@bamboolane/steering/member_view";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
 import { ServiceEstimate } from "@bamboolane/steering/service_estimate";
+import { shareColdRate } from "@bamboolane/steering/share_cold_rate";
 import { SplitPicker } from "@bamboolane/steering/split_picker";
 import type {
   StateRow,
@@ -18,6 +20,7 @@
 import type { TargetBelief } from "@bamboolane/steering/target_belief";
 import { TargetBook } from "@bamboolane/steering/target_book";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { RowArchive } from "./row_archive.ts";
 import { StateTable } from "./state_store.ts";
 
 /** Requests remembered after a crash; each takes some hundred bytes. */
@@ -31,6 +34,8 @@
 export class GatewayState {
   readonly targets = new TargetBook();
   readonly members = new MemberView();
+  readonly archive = new RowArchive();
+  readonly shares = new AgreedShares();
   readonly crashes = new CrashWatch({
     maxFingerprints: maxSuspects,
     memoryMillis: suspectMemoryMillis,
@@ -38,15 +43,16 @@
   readonly #settings: GatewaySettings;
   readonly #log: EventLog;
   readonly #evacuated = new Map<string, { version: number; active: boolean }>();
-  readonly #rows = new Map<string, StateRow>();
   #config: SteeringConfig | undefined;
   #routes = new RouteIndex([]);
   #services = new Map<string, SteeringService>();
   #splits = new Map<string, SplitPicker>();
   readonly #estimates = new Map<string, ServiceEstimate>();
   readonly #budgets = new Map<string, RetryBudget>();
-  /** When the store was last seen to come back after an outage. */
-  storeBackAtMillis = -Infinity;
+  /** Rates for cold targets, valid for one generation of the entries' list. */
+  readonly #coldRates = new Map<string, number>();
+  #coldRatesGeneration = 0;
+  #storeBackAtMillis = -Infinity;
   /** Called after a change that may make room. */
   onChange: () => void = () => {};
 
@@ -64,9 +70,14 @@
     return this.#config !== undefined && this.targets.isComplete;
   }
 
-  /** All rows, for entries that can't read the store. */
-  rows(): StateRow[] {
-    return [...this.#rows.values()];
+  /** When the store was last seen to come back after an outage. */
+  get storeBackAtMillis(): number {
+    return this.#storeBackAtMillis;
+  }
+
+  /** The store came back after an outage, as this or another entry saw. */
+  noteStoreBack(atMillis: number): void {
+    this.#storeBackAtMillis = Math.max(this.#storeBackAtMillis, atMillis);
   }
 
   /** Applies rows in the order of their versions. */
@@ -134,24 +145,37 @@
 
   /** Rate at which this entry may send to a cold target; 0 for none. */
   coldPerSecond(target: TargetBelief): number {
-    const region = this.region(target);
-    if (region !== this.#settings.instance.region) return 0;
-    const service = this.#services.get(target.record.service);
-    return (service?.warmupPerSecond ?? 0) / this.members.countInRegion(region);
+    const { region, id } = this.#settings.instance;
+    if (this.region(target) !== region) return 0;
+    if (this.#coldRatesGeneration !== this.members.generation) {
+      this.#coldRatesGeneration = this.members.generation;
+      this.#coldRates.clear();
+    }
+    let perSecond = this.#coldRates.get(target.record.id);
+    if (perSecond === undefined) {
+      const service = this.#services.get(target.record.service);
+      perSecond = shareColdRate(id, {
+        others: this.members.idsInRegion(region),
+        target: target.record.id,
+        perSecond: service?.warmupPerSecond ?? 0,
+      });
+      this.#coldRates.set(target.record.id, perSecond);
+    }
+    return perSecond;
   }
 
   /** Drops what lapsed for good. */
   tidy(nowMillis: number): void {
     for (const id of this.targets.expire(nowMillis)) {
       this.#log.info("target_gone", { target: id, cause: "lapsed" });
-      this.#rows.delete(`target/${id}`);
     }
+    this.archive.tidy(nowMillis);
   }
 
   #applyRow(row: StateRow, nowMillis: number): void {
     switch (row.kind) {
       case "config":
-        return this.#applyConfig(row);
+        return this.#applyConfig(row, nowMillis);
       case "evacuation":
         return this.#applyEvacuation(row, nowMillis);
       case "target":
@@ -162,17 +186,19 @@
     }
   }
 
-  #applyConfig(row: StateRow & { kind: "config" }): void {
+  #applyConfig(row: StateRow & { kind: "config" }, nowMillis: number): void {
     const { config } = row;
-    if (this.#config && config.revision <= this.#config.revision) return;
     const from = this.#config?.revision ?? 0;
+    if (config.revision < from) return;
+    this.archive.set(row, nowMillis);
+    if (config.revision === from) return;
     this.#config = config;
     this.#routes = new RouteIndex(config.routes);
     this.#services = new Map(config.services.map((s) => [s.name, s]));
     this.#splits = new Map(
       config.routes.map((route) => [route.name, new SplitPicker(route.parts)]),
     );
-    this.#rows.set("config", row);
+    this.#coldRates.clear();
     this.#log.info("config_applied", {
       revision: config.revision,
       from,
@@ -191,7 +217,7 @@
       version: row.version,
       active: row.active,
     });
-    this.#rows.set(`evacuation/${row.dataCentre}`, row);
+    this.archive.set(row, nowMillis);
     if ((known?.active ?? false) === row.active) return;
     this.#log.info(row.active ? "evacuated" : "evacuation_over", {
       dataCentre: row.dataCentre,
@@ -214,8 +240,8 @@
       nowMillis,
       storeBackAtMillis: this.storeBackAtMillis,
     });
-    if (row.record) this.#rows.set(`target/${row.id}`, row);
-    else if (change === "removed") this.#rows.delete(`target/${row.id}`);
+    if (change === "stale") return;
+    this.archive.set(row, nowMillis);
     if (change === "none") return;
     this.#log.info(`target_${change}`, {
       target: row.id,
@@ -240,6 +266,12 @@
       storeBackAtMillis: this.storeBackAtMillis,
     });
     for (const id of missing) {
+      this.archive.set({
+        kind: "target",
+        version: options.version,
+        id,
+        record: undefined,
+      }, options.nowMillis);
       this.#log.info("target_missing", {
         target: id,
         version: options.version,
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -1,23 +1,32 @@
 /**
- * Heartbeats between entries, as datagrams: who serves, what is in flight at
- * which target, which state versions are known, which requests crashed
- * targets. A lost datagram costs nothing, the next one carries all of it.
+ * Heartbeats between the entries of a data centre, and digests between data
+ * centres, as datagrams: who serves, what is in flight at which target, which
+ * rows are known, which requests crashed targets. One entry of each data
+ * centre, its relay, speaks to the relays of the others and passes on what
+ * they say.
  */
 import { createSocket, type Socket } from "node:dgram";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { CrashSuspect } from "@bamboolane/types/instance";
+import {
+  type Candidate,
+  digestReceiver,
+  isRelay,
+} from "@bamboolane/steering/elect_entries";
+import {
+  digestSilenceMillis,
+  type Member,
+} from "@bamboolane/steering/member_view";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import { lapseGraceMillis } from "@bamboolane/steering/target_book";
 import type { GatewayState } from "./gateway_state.ts";
-
-/** One heartbeat. */
-interface Heartbeat {
-  entry: EntryRecord;
-  serving: boolean;
-  /** Newest versions of the operator's and the targets' table. */
-  versions: [number, number];
-  inFlight: Record<string, number>;
-  suspects: CrashSuspect[];
-}
+import {
+  decodeMessage,
+  type Digest,
+  encodeMessage,
+  type Heartbeat,
+} from "./peer_messages.ts";
+import type { RowVersions } from "./row_archive.ts";
 
 /** Options of {@link PeerTask}. */
 export interface PeerOptions {
@@ -25,17 +34,22 @@
   state: GatewayState;
   log: EventLog;
   isServing: () => boolean;
-  versions: () => [number, number];
+  reachesStore: () => boolean;
   inFlight: () => Record<string, number>;
-  /** A peer knows newer state than this entry. */
-  onAhead: (peer: EntryRecord, versions: [number, number]) => void;
+  shares: () => Record<string, number>;
+  /** Another entry told which rows it has. */
+  onVersions: (peer: EntryRecord, versions: RowVersions) => void;
+  /** A digest names entries that aren't known. */
+  onUnknown: () => void;
 }
 
-/** Between entries of a region: a few times faster than short requests end. */
-const nearIntervalMillis = 150;
-/** Between regions: links are priced, and loads there matter less. */
+/** Shortest time between two heartbeats: a few times faster than short requests end. */
+const leastIntervalMillis = 150;
+/** Heartbeats that one entry sends per second at most: a tenth of a millisecond each, half a percent of a core. */
+const mostHeartbeatsPerSecond = 50;
+/** Between regions only every so many heartbeats: links are priced, and loads there matter less. */
 const farIntervals = 4;
-/** Crash suspects in one heartbeat; a datagram must stay small. */
+/** Crash suspects in one message; a datagram must stay small. */
 const maxSuspects = 8;
 
 /** Task that owns the datagram socket. */
@@ -44,6 +58,10 @@
   readonly #socket: Socket;
   #timer: NodeJS.Timeout | undefined;
   #beat = 0;
+  #stopped = false;
+  #served = false;
+  /** Newest digests that other relays sent here, not yet passed on. */
+  readonly #toPassOn = new Map<string, Digest>();
 
   constructor(options: PeerOptions) {
     this.#options = options;
@@ -60,51 +78,148 @@
     const [host, port] = this.#options.self.peerAddress.split(":");
     return new Promise((resolve) => {
       this.#socket.bind(Number(port), host, () => {
-        this.#timer = setInterval(() => this.#tick(), nearIntervalMillis);
+        this.#tick();
         resolve();
       });
     });
   }
 
-  /** Tells all peers at once, when the state of this entry changes. */
+  /** Tells all data centres at once, when the state of this entry changes. */
   announce(): void {
-    for (const { record } of this.#options.state.members.all()) {
-      if (record.id !== this.#options.self.id) this.#send(record);
-    }
+    this.#sendHeartbeats();
+    this.#sendDigests({ far: true });
+  }
+
+  /** The entries of this data centre that are heard of, as candidates for its duties. */
+  liveMates(): Candidate[] {
+    const nowMillis = performance.now();
+    return this.#mates()
+      .filter((mate) => nowMillis < mate.liveUntilMillis)
+      .map(({ record, reachesStore }) => ({ id: record.id, reachesStore }));
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    this.#stopped = true;
+    clearTimeout(this.#timer);
     this.#socket.close();
   }
 
-  #tick(): void {
+  #mates(): Member[] {
     const { self, state } = this.#options;
+    return state.members.all().filter(({ record }) =>
+      record.dataCentre === self.dataCentre && record.id !== self.id
+    );
+  }
+
+  #tick(): void {
+    if (this.#stopped) return;
     this.#beat++;
-    for (const { record } of state.members.all()) {
-      if (record.id === self.id) continue;
-      const near = record.region === self.region;
-      if (near || this.#beat % farIntervals === 0) this.#send(record);
-    }
+    const mates = this.#sendHeartbeats();
+    this.#sendDigests({ far: this.#beat % farIntervals === 0 });
+    const intervalMillis = Math.max(
+      leastIntervalMillis,
+      mates * 1000 / mostHeartbeatsPerSecond,
+    );
+    this.#timer = setTimeout(() => this.#tick(), intervalMillis);
+  }
+
+  /** Returns how many were sent; silent entries get theirs too, they may have restarted. */
+  #sendHeartbeats(): number {
+    const mates = this.#mates();
+    if (mates.length === 0) return 0;
+    const bytes = encodeMessage(this.#heartbeat());
+    for (const { record } of mates) this.#send(record, bytes);
+    return mates.length;
   }
 
-  #encode(): Buffer {
-    const { self, state, isServing, versions, inFlight } = this.#options;
-    const beat: Heartbeat = {
+  #heartbeat(): Heartbeat {
+    const { self, state, isServing, reachesStore, inFlight } = this.#options;
+    const digests = [...this.#toPassOn.values()];
+    this.#toPassOn.clear();
+    const backAgeMillis = performance.now() - state.storeBackAtMillis;
+    return {
+      kind: "heartbeat",
       entry: self,
       serving: isServing(),
-      versions: versions(),
+      reachesStore: reachesStore(),
+      versions: state.archive.versions,
+      storeBackAgeMillis: backAgeMillis < lapseGraceMillis
+        ? Math.round(backAgeMillis)
+        : undefined,
       inFlight: inFlight(),
-      suspects: state.crashes.list(performance.now()).slice(-maxSuspects),
+      shares: this.#options.shares(),
+      suspects: this.#suspects(),
+      digests,
+    };
+  }
+
+  #suspects(): CrashSuspect[] {
+    return this.#options.state.crashes.list(performance.now())
+      .slice(-maxSuspects);
+  }
+
+  #sendDigests(options: { far: boolean }): void {
+    const { self, state } = this.#options;
+    const nowMillis = performance.now();
+    const mates = this.#servingMates(nowMillis);
+    if (!this.#speaksForAll(mates)) return;
+    const groups = new Map<string, Member[]>();
+    for (const member of state.members.all()) {
+      const { dataCentre, region } = member.record;
+      if (dataCentre === self.dataCentre) continue;
+      if (region !== self.region && !options.far) continue;
+      const group = groups.get(dataCentre);
+      if (group) group.push(member);
+      else groups.set(dataCentre, [member]);
+    }
+    if (groups.size === 0) return;
+    const bytes = encodeMessage(this.#digest(mates, nowMillis));
+    for (const group of groups.values()) {
+      const receiver = digestReceiver(group, { nowMillis, turn: this.#beat });
+      if (receiver) this.#send(receiver, bytes);
+    }
+  }
+
+  /** A leaving entry that nobody follows says so itself. */
+  #speaksForAll(mates: readonly string[]): boolean {
+    if (this.#options.isServing()) {
+      this.#served = true;
+      return isRelay(this.#options.self.id, mates);
+    }
+    return this.#served && mates.length === 0;
+  }
+
+  #servingMates(nowMillis: number): string[] {
+    return this.#mates()
+      .filter((mate) => mate.serving && nowMillis < mate.liveUntilMillis)
+      .map(({ record }) => record.id);
+  }
+
+  #digest(mates: string[], nowMillis: number): Digest {
+    const { self, state, inFlight, isServing } = this.#options;
+    const sums = inFlight();
+    for (const mate of mates) {
+      for (const [target, count] of state.members.inFlightOf(mate, nowMillis)) {
+        sums[target] = (sums[target] ?? 0) + count;
+      }
+    }
+    return {
+      kind: "digest",
+      relay: self,
+      serving: isServing() ? [self.id, ...mates] : mates,
+      versions: state.archive.versions,
+      inFlight: sums,
+      shares: this.#options.shares(),
+      suspects: this.#suspects(),
     };
-    return Buffer.from(JSON.stringify(beat));
   }
 
-  #send(peer: EntryRecord): void {
+  #send(peer: EntryRecord, bytes: Buffer): void {
+    if (this.#stopped) return;
     const [host, port] = peer.peerAddress.split(":");
-    this.#socket.send(this.#encode(), Number(port), host, (error) => {
+    this.#socket.send(bytes, Number(port), host, (error) => {
       if (error) {
-        this.#options.log.debug("heartbeat_unsent", {
+        this.#options.log.debug("message_unsent", {
           peer: peer.id,
           error: error.message,
         });
@@ -113,17 +228,28 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { state, log, onAhead } = this.#options;
-    let beat: Heartbeat;
     try {
-      beat = JSON.parse(bytes.toString("utf8")) as Heartbeat;
+      const message = decodeMessage(bytes);
+      switch (message.kind) {
+        case "heartbeat":
+          return this.#hear(message);
+        case "digest":
+          this.#toPassOn.set(message.relay.dataCentre, message);
+          return this.#hearDigest(message);
+      }
     } catch (error) {
-      log.warn("heartbeat_unreadable", { error: (error as Error).message });
-      return;
+      this.#options.log.warn("message_unreadable", {
+        error: (error as Error).message,
+      });
     }
+  }
+
+  #hear(beat: Heartbeat): void {
+    const { state, log, onVersions } = this.#options;
     const nowMillis = performance.now();
     const isNew = state.members.hear(beat.entry, {
       serving: beat.serving,
+      reachesStore: beat.reachesStore,
       inFlight: new Map(Object.entries(beat.inFlight)),
     }, nowMillis);
     if (isNew) {
@@ -131,14 +257,45 @@
         peer: beat.entry.id,
         incarnation: beat.entry.incarnation,
       });
-      this.#send(beat.entry);
+      this.#send(beat.entry, encodeMessage(this.#heartbeat()));
     }
-    for (const suspect of beat.suspects) {
-      state.crashes.merge(suspect, nowMillis);
+    this.#noteShares(beat.entry, beat.shares);
+    if (beat.storeBackAgeMillis !== undefined) {
+      state.noteStoreBack(nowMillis - beat.storeBackAgeMillis);
     }
-    const [operator, targets] = this.#options.versions();
-    if (beat.versions[0] > operator || beat.versions[1] > targets) {
-      onAhead(beat.entry, beat.versions);
+    this.#mergeSuspects(beat.suspects, nowMillis);
+    for (const digest of beat.digests) this.#hearDigest(digest);
+    onVersions(beat.entry, beat.versions);
+  }
+
+  #hearDigest(digest: Digest): void {
+    const { self, state, onVersions, onUnknown } = this.#options;
+    const { relay } = digest;
+    if (relay.dataCentre === self.dataCentre) return;
+    const nowMillis = performance.now();
+    const known = state.members.hearDigest({
+      relay,
+      serving: digest.serving,
+      inFlight: new Map(Object.entries(digest.inFlight)),
+    }, nowMillis);
+    if (!known) onUnknown();
+    this.#noteShares(relay, digest.shares);
+    this.#mergeSuspects(digest.suspects, nowMillis);
+    onVersions(relay, digest.versions);
+  }
+
+  #noteShares(source: EntryRecord, shares: Record<string, number>): void {
+    if (source.region !== this.#options.self.region) return;
+    this.#options.state.shares.note(
+      source.id,
+      new Map(Object.entries(shares)),
+      performance.now() + digestSilenceMillis,
+    );
+  }
+
+  #mergeSuspects(suspects: readonly CrashSuspect[], nowMillis: number): void {
+    for (const suspect of suspects) {
+      this.#options.state.crashes.merge(suspect, nowMillis);
     }
   }
 }
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -1,35 +1,26 @@
 /**
- * Takes requests to targets: places them, lets them wait, repeats what may be
- * repeated, and answers each exactly once. Decisions come from the steering
- * package; this task owns the connections and the lines.
+ * Takes requests to targets: lets them wait, sends them, repeats what may be
+ * repeated, and answers each exactly once. This task owns the connections; the
+ * placer decides where a request goes, the learner what an attempt teaches.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
-import {
-  type Admission,
-  admitRequest,
-  expectedWaitMillis,
-} from "@bamboolane/steering/admit_request";
-import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
-import { RegionShare } from "@bamboolane/steering/region_share";
-import {
-  type Placement,
-  placeRequest,
-} from "@bamboolane/steering/place_request";
+import type { Placement } from "@bamboolane/steering/place_request";
 import { Repeat } from "@bamboolane/steering/steering_config";
 import {
   AttemptResult,
   type TargetBelief,
 } from "@bamboolane/steering/target_belief";
-import { WaitLine } from "@bamboolane/steering/wait_line";
-import { WindowCounter } from "@bamboolane/steering/window_counter";
+import { AttemptLearner } from "./attempt_learner.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayRequest, OwnAnswer } from "./gateway_request.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { GatewayState } from "./gateway_state.ts";
+import { type OutcomeDetails, recordOutcome } from "./record_outcome.ts";
+import { RequestPlacer } from "./request_placer.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { type AttemptEnd, sendAttempt } from "./send_attempt.ts";
-import { isAddressClosed, TargetConnections } from "./target_connections.ts";
+import { TargetConnections } from "./target_connections.ts";
 
 /** Options of {@link RequestRunner}. */
 export interface RunnerOptions {
@@ -41,29 +32,19 @@
   random: () => number;
 }
 
-/** Window over which the flow out of a line is measured. */
-const flowWindowMillis = 2000;
 /** How often lines are looked at while nothing else happens: pauses end, cold meters fill. */
 const lineTickMillis = 25;
 /** Least time left for a repeat to make sense. */
 const leastRepeatMillis = 30;
-/** When a caller is asked back where no target is usable. */
-const noTargetRetryMillis = 500;
+
 /** Slack below which the target's deadline isn't worth a send. */
 const leastSendMillis = 5;
 
-interface Lane {
-  line: WaitLine<GatewayRequest>;
-  flow: WindowCounter;
-  share: RegionShare;
-}
-
-const noHomes: ObjectHomes = { first: undefined, second: undefined };
-
 /** Runs the requests of one entry. */
 export class RequestRunner {
   readonly #options: RunnerOptions;
-  readonly #lanes = new Map<string, Lane>();
+  readonly #placer: RequestPlacer;
+  readonly #learner: AttemptLearner;
   readonly #connections = new Map<string, TargetConnections>();
   readonly #roundTrips: RoundTrips;
   readonly #ticker: NodeJS.Timeout;
@@ -72,6 +53,14 @@
   constructor(options: RunnerOptions) {
     this.#options = options;
     this.#roundTrips = new RoundTrips(options.settings);
+    this.#placer = new RequestPlacer({
+      ...options,
+      roundTrips: this.#roundTrips,
+    });
+    this.#learner = new AttemptLearner({
+      ...options,
+      roundTrips: this.#roundTrips,
+    });
     this.#ticker = setInterval(() => this.drainAll(), lineTickMillis);
     options.state.onChange = () => this.drainAll();
   }
@@ -90,6 +79,11 @@
     return counts;
   }
 
+  /** Shares of objects that other regions run, by service, for the other entries. */
+  shares(): Record<string, number> {
+    return this.#placer.shares();
+  }
+
   /** Takes a request; its sink gets exactly one answer unless it is cancelled. */
   run(request: GatewayRequest): void {
     const nowMillis = performance.now();
@@ -112,13 +106,13 @@
       sends: request.sends,
     });
     this.#close(request);
-    this.#lane(request.service).line.remove(request);
+    this.#placer.lane(request.service).line.remove(request);
     request.abort?.("caller left");
     this.#drain(request.service);
   }
 
   drainAll(): void {
-    for (const [service, lane] of this.#lanes) {
+    for (const [service, lane] of this.#placer.lanes) {
       if (lane.line.length > 0) this.#drain(service);
     }
   }
@@ -143,87 +137,10 @@
     }
   }
 
-  #lane(service: string): Lane {
-    let lane = this.#lanes.get(service);
-    if (lane === undefined) {
-      lane = {
-        line: new WaitLine(),
-        flow: new WindowCounter(flowWindowMillis),
-        share: new RegionShare(),
-      };
-      this.#lanes.set(service, lane);
-    }
-    return lane;
-  }
-
-  #place(request: GatewayRequest, nowMillis: number): Placement {
-    const { state } = this.#options;
-    const { allowedRegions } = request.route;
-    const targets = state.targets.ofService(request.service);
-    for (const target of targets) {
-      target.notePeers(state.members.inFlightAt(target.record.id, nowMillis));
-    }
-    const isAllowed = (target: TargetBelief) =>
-      !state.isEvacuated(target.record.dataCentre) &&
-      (allowedRegions.length === 0 ||
-        allowedRegions.includes(state.region(target)));
-    const farWeight = this.#farWeight(request.service, targets, nowMillis);
-    const weightOf = (target: TargetBelief) => {
-      if (target.isLeaving() || !isAllowed(target)) return 0;
-      return target.record.slots * (this.#isNear(target) ? 1 : farWeight);
-    };
-    return placeRequest(targets, {
-      object: request.object,
-      nowMillis,
-      estimate: this.#estimate(request),
-      load: this.#lane(request.service).share.load,
-      objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
-      roundTripMillis: (target) => this.#roundTrips.read(target),
-      homes: request.object === undefined
-        ? noHomes
-        : findHomes(request.object, targets, weightOf),
-      isAllowed,
-      coldPerSecond: (target) => state.coldPerSecond(target),
-      exclude: request.tried,
-    });
-  }
-
-  #isNear(target: TargetBelief): boolean {
-    const { settings, state } = this.#options;
-    return state.region(target) === settings.instance.region;
-  }
-
-  /** Weight of slots in other regions for the homes of a service's objects. */
-  #farWeight(
-    service: string,
-    targets: readonly TargetBelief[],
-    nowMillis: number,
-  ): number {
-    const near = { inFlight: 0, slots: 0 };
-    const far = { inFlight: 0, slots: 0 };
-    for (const target of targets) {
-      if (target.isLeaving()) continue;
-      if (this.#options.state.isEvacuated(target.record.dataCentre)) continue;
-      const side = this.#isNear(target) ? near : far;
-      side.slots += target.record.slots;
-      side.inFlight += target.inFlight(nowMillis);
-    }
-    const { share } = this.#lane(service);
-    share.update(near, far, nowMillis);
-    return share.farWeight(near, far);
-  }
-
-  #estimate(request: GatewayRequest) {
-    return this.#options.state.estimate(
-      request.service,
-      request.route.objectiveMillis,
-    );
-  }
-
   #start(request: GatewayRequest, nowMillis: number): void {
-    const { line } = this.#lane(request.service);
-    const placement = this.#place(request, nowMillis);
-    const admission = this.#admit(request, placement, nowMillis);
+    const { line } = this.#placer.lane(request.service);
+    const placement = this.#placer.place(request, nowMillis);
+    const admission = this.#placer.admit(request, placement, nowMillis);
     if (admission.kind === "refuse") {
       return this.#refuse(request, {
         reason: placement.kind,
@@ -238,48 +155,8 @@
     this.#drain(request.service);
   }
 
-  #admit(
-    request: GatewayRequest,
-    placement: Placement,
-    nowMillis: number,
-  ): Admission {
-    const { random } = this.#options;
-    const { line, flow, share } = this.#lane(request.service);
-    if (placement.kind === "none" && placement.usableAtMillis === Infinity) {
-      const retryAfterMillis = noTargetRetryMillis * (1 + random());
-      return { kind: "refuse", retryAfterMillis };
-    }
-    const work = this.#estimate(request).meanMillis();
-    const flowPerSecond = Math.max(
-      flow.read(nowMillis) * 1000 / flowWindowMillis,
-      this.#leastFlow(placement, work),
-    );
-    const isTaken = placement.kind === "send" && line.length === 0;
-    const lineMillis = isTaken
-      ? 0
-      : expectedWaitMillis(line.length, flowPerSecond);
-    const targetMillis = placement.kind === "send" ? placement.waitMillis : 0;
-    return admitRequest({
-      waitMillis: lineMillis + targetMillis,
-      serviceMillis: placement.kind === "none"
-        ? placement.usableAtMillis - nowMillis + work
-        : placement.finishMillis - targetMillis,
-      leftMillis: request.expiresAtMillis - nowMillis,
-      objectiveLeftMillis: request.objectiveAtMillis - nowMillis,
-      load: share.load,
-      random: random(),
-    });
-  }
-
-  /** Flow that this entry's part of the slots gives, before any was measured. */
-  #leastFlow(placement: Placement, workMillis: number): number {
-    const slots = placement.kind === "full" ? placement.slots : 1;
-    const entries = this.#options.state.members.count;
-    return slots * 1000 / Math.max(1, workMillis) / entries / 2;
-  }
-
   #drain(service: string): void {
-    const lane = this.#lane(service);
+    const lane = this.#placer.lane(service);
     while (lane.line.length > 0) {
       const nowMillis = performance.now();
       const estimate = this.#options.state.estimate(service, 0);
@@ -287,7 +164,7 @@
         workMillis: estimate.meanMillis(),
       });
       if (request === undefined) return;
-      const placement = this.#place(request, nowMillis);
+      const placement = this.#placer.place(request, nowMillis);
       if (placement.kind !== "send") {
         lane.line.add(request);
         return;
@@ -308,7 +185,7 @@
     if (leftMillis < leastSendMillis) return;
     if (target.isCold(nowMillis)) target.cold.take();
     const inFlight = target.inFlight(nowMillis);
-    this.#lane(request.service).flow.add(1, nowMillis);
+    this.#placer.lane(request.service).flow.add(1, nowMillis);
     target.noteSent(request.object, nowMillis);
     request.tried.add(record.id);
     request.sends++;
@@ -338,7 +215,7 @@
         const sound = end.kind === "answered" || end.kind === "not-run" ||
           end.kind === "streamed";
         settle(sound && !end.leaving);
-        this.#learn(request, {
+        this.#learner.learn(request, {
           target,
           placement,
           end,
@@ -377,106 +254,6 @@
     return connections;
   }
 
-  /** Updates beliefs from the end of an attempt. */
-  #learn(
-    request: GatewayRequest,
-    result: {
-      target: TargetBelief;
-      placement: Placement & { kind: "send" };
-      end: AttemptEnd;
-      tookMillis: number;
-      queued: boolean;
-      fresh: boolean;
-      nowMillis: number;
-    },
-  ): void {
-    const { target, end, nowMillis } = result;
-    const { state, metrics, log } = this.#options;
-    const health = {
-      nowMillis,
-      warmupMillis: state.warmupMillis(request.service),
-    };
-    metrics.count("bamboolane_decisions", 1, { kind: end.kind });
-    log.debug("attempt", {
-      request: request.id,
-      target: target.record.id,
-      end: end.kind,
-      tookMillis: Math.round(result.tookMillis),
-    });
-    switch (end.kind) {
-      case "answered":
-      case "streamed":
-        target.noteResult(
-          end.kind === "answered" && end.answer.status >= 500
-            ? AttemptResult.faulty
-            : AttemptResult.answered,
-          health,
-        );
-        if (end.kind === "answered" && end.answer.status < 300) {
-          this.#learnWork(request, result);
-        }
-        return;
-      case "not-run":
-        target.noteResult(AttemptResult.refused, health);
-        if (end.status === this.#options.dialect.otherTargetStatus) {
-          target.markLeaving();
-        }
-        return;
-      case "unreachable":
-        return target.noteResult(AttemptResult.unreachable, health);
-      case "lost":
-      case "stream-cut":
-        target.noteResult(AttemptResult.lost, health);
-        if (end.kind === "lost" && !end.spoiled) {
-          this.#checkCrash(request, target);
-        }
-        return;
-    }
-  }
-
-  #learnWork(
-    request: GatewayRequest,
-    result: {
-      target: TargetBelief;
-      placement: Placement & { kind: "send" };
-      tookMillis: number;
-      queued: boolean;
-      fresh: boolean;
-      nowMillis: number;
-    },
-  ): void {
-    const { target, placement } = result;
-    if (result.queued) return;
-    const estimate = this.#estimate(request);
-    const roundTrip = this.#roundTrips.read(target) * (result.fresh ? 2 : 1);
-    const work = Math.max(1, result.tookMillis - roundTrip);
-    const expected = estimate.workMillis(placement.warm);
-    if (!target.isCold(result.nowMillis)) {
-      estimate.note(work / target.slowness, { warm: placement.warm });
-      target.noteWork(work / Math.max(1, expected));
-    }
-  }
-
-  /** Finds out whether the target crashed while it ran the request. */
-  async #checkCrash(
-    request: GatewayRequest,
-    target: TargetBelief,
-  ): Promise<void> {
-    const { state, log } = this.#options;
-    if (!await isAddressClosed(target.record.address)) return;
-    const nowMillis = performance.now();
-    target.noteResult(AttemptResult.unreachable, {
-      nowMillis,
-      warmupMillis: state.warmupMillis(request.service),
-    });
-    state.crashes.recordCrash(request.fingerprint, target.record.id, nowMillis);
-    log.warn("target_crashed", {
-      request: request.id,
-      target: target.record.id,
-      fingerprint: request.fingerprint,
-    });
-  }
-
   /** Passes an answer on, repeats the request, or gives it up. */
   #conclude(
     request: GatewayRequest,
@@ -523,7 +300,7 @@
   }
 
   #returnMillis(request: GatewayRequest): number {
-    return this.#estimate(request).meanMillis() *
+    return this.#placer.estimate(request).meanMillis() *
       (0.5 + this.#options.random());
   }
 
@@ -538,7 +315,7 @@
     if (request.sends >= route.attempts) return false;
     if (request.expiresAtMillis - nowMillis < leastRepeatMillis) return false;
     if (state.crashes.isHeld(request.fingerprint, nowMillis)) return false;
-    const placement = this.#place(request, nowMillis);
+    const placement = this.#placer.place(request, nowMillis);
     if (placement.kind !== "send") return false;
     if (
       !state.budget(request.service).spend(nowMillis, {
@@ -561,7 +338,7 @@
 
   #expire(request: GatewayRequest): void {
     if (request.done) return;
-    this.#lane(request.service).line.remove(request);
+    this.#placer.lane(request.service).line.remove(request);
     const abort = request.abort;
     const ran = request.maybeRun > 0;
     if (ran) this.#fail(request, { kind: "expired" });
@@ -607,40 +384,11 @@
   #finish(
     request: GatewayRequest,
     outcome: string,
-    details: {
-      target?: TargetBelief;
-      status?: number;
-      reason?: string;
-      retryAfterMillis?: number;
-      ahead?: number;
-    },
+    details: OutcomeDetails,
   ): void {
     if (request.done) return;
     this.#close(request);
-    const { log, metrics, state } = this.#options;
-    const nowMillis = performance.now();
-    const tookMillis = nowMillis - request.arrivedAtMillis;
-    const { target, ...rest } = details;
-    log.info("request", {
-      request: request.id,
-      route: request.route.name,
-      service: request.service,
-      outcome,
-      target: target?.record.id,
-      targetVersion: target?.version,
-      inFlight: target?.inFlight(nowMillis),
-      revision: state.config?.revision,
-      sends: request.sends,
-      tookMillis: Math.round(tookMillis),
-      ...rest,
-    });
-    metrics.count("bamboolane_requests", 1, {
-      service: request.service,
-      result: outcome,
-    });
-    metrics.record("bamboolane_request_duration_millis", tookMillis, {
-      service: request.service,
-    });
+    recordOutcome(request, { ...this.#options, outcome, details });
   }
 }
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -78,17 +78,20 @@
     state,
     seeds: settings.seeds,
     self,
+    liveMates: () => peers.liveMates(),
     log,
     random: Math.random,
   });
-  const peers = new PeerTask({
+  const peers: PeerTask = new PeerTask({
     self,
     state,
     log,
     isServing: () => isReady(),
-    versions: () => stateTask.versions(),
+    reachesStore: () => !stopping && stateTask.reachesStore(),
     inFlight: () => runner.inFlightByTarget(),
-    onAhead: (peer) => stateTask.noteAhead(peer),
+    shares: () => runner.shares(),
+    onVersions: (peer, versions) => stateTask.noteVersions(peer, versions),
+    onUnknown: () => stateTask.readMembersSoon(),
   });
   let stopping = false;
   stateTask.start();
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -1,15 +1,19 @@
 /**
- * Keeps the state current: follows the store's tables, and borrows from other
- * entries what the store doesn't deliver.
+ * Keeps the state current. A few entries of each data centre follow the
+ * store's tables; the others read from them what changed, as soon as a
+ * heartbeat tells of it. What a data centre's followers don't get from the
+ * store comes from other data centres in the same way.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
-import type {
-  EntryRecord,
-  StateRow,
-} from "@bamboolane/steering/steering_config";
+import {
+  type Candidate,
+  isStoreFollower,
+} from "@bamboolane/steering/elect_entries";
+import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { borrowState } from "./borrow_state.ts";
 import { TableFollower } from "./follow_table.ts";
 import type { GatewayState } from "./gateway_state.ts";
+import type { RowDelta, RowVersions } from "./row_archive.ts";
 import { type StateStore, StateTable } from "./state_store.ts";
 
 /** Options of {@link StateTask}. */
@@ -18,16 +22,24 @@
   state: GatewayState;
   seeds: readonly string[];
   self: EntryRecord;
+  /** The other entries of the data centre that are heard of. */
+  liveMates: () => readonly Candidate[];
   log: EventLog;
   random: () => number;
 }
 
-/** How long a peer may know more before its state is borrowed: a watch's pace and way. */
+/** How long another entry may know more than a follower does: a watch's pace and way. */
 const aheadToleranceMillis = 600;
-/** Least time between two reads of other entries' state. */
-const borrowIntervalMillis = 500;
+/** Least time between two reads of other entries' state; bounds them while many rows change. */
+const borrowIntervalMillis = 150;
+/** How often an entry without any state asks all others. */
+const borrowAtStartMillis = 500;
+/** An entry that lost the store counts as able to follow it again after this time. */
+const lostMemoryMillis = 5000;
 /** How often the entries' table is read: heartbeats tell most of it sooner. */
 const membersReadMillis = 15_000;
+/** Least time between reads that are due to unknown entries: a new one registers within it. */
+const unknownMembersReadMillis = 2000;
 /** Pause between attempts to read the entries' table. */
 const membersRetryMillis = 300;
 
@@ -38,11 +50,13 @@
   readonly #targets: TableFollower;
   #aheadSinceMillis: number | undefined;
   #borrowedAtMillis = -Infinity;
-  #unreachable = false;
+  #borrowing = false;
+  #lostAtMillis: number | undefined;
   #stopped = false;
   #borrower: NodeJS.Timeout | undefined;
   #memberReader: NodeJS.Timeout | undefined;
   #readingMembers = false;
+  #membersReadAtMillis = -Infinity;
   /** A read that began earlier may lack what is asked for. */
   #membersWanted = false;
 
@@ -62,7 +76,7 @@
     );
     this.#borrower = setInterval(
       () => this.#borrowAtStart(),
-      borrowIntervalMillis,
+      borrowAtStartMillis,
     );
   }
 
@@ -74,21 +88,33 @@
     this.#targets.stop();
   }
 
-  /** Newest versions of the operator's and the targets' table. */
-  versions(): [number, number] {
-    return [this.#operator.version, this.#targets.version];
+  /** True while the store answers here, or hasn't been tried lately. */
+  reachesStore(): boolean {
+    return this.#lostAtMillis === undefined ||
+      performance.now() - this.#lostAtMillis > lostMemoryMillis;
   }
 
-  /** A peer knows more: waits a moment for the store, then asks the peer. */
-  noteAhead(peer: EntryRecord): void {
+  /** Another entry told which rows it has: reads from it what this one lacks. */
+  noteVersions(peer: EntryRecord, versions: RowVersions): void {
+    const own = this.#options.state.archive.versions;
+    if (versions[0] <= own[0] && versions[1] <= own[1]) return;
+    if (!this.#options.state.isComplete) return;
     const nowMillis = performance.now();
     this.#aheadSinceMillis ??= nowMillis;
-    const late = nowMillis - this.#aheadSinceMillis > aheadToleranceMillis;
-    if (!late && !this.#unreachable) return;
-    this.#aheadSinceMillis = undefined;
+    const isMate = peer.dataCentre === this.#options.self.dataCentre;
+    const followsWell = this.#lostAtMillis === undefined && this.#isFollower();
+    const mayWait = !isMate || followsWell;
+    const aheadMillis = nowMillis - this.#aheadSinceMillis;
+    if (mayWait && aheadMillis < aheadToleranceMillis) return;
     this.#borrow(peer.stateAddress);
   }
 
+  #isFollower(): boolean {
+    const { self, liveMates } = this.#options;
+    const candidate = { id: self.id, reachesStore: this.reachesStore() };
+    return isStoreFollower(candidate, liveMates());
+  }
+
   #follow(table: StateTable): TableFollower {
     const { store, state, log, random } = this.#options;
     return new TableFollower({
@@ -96,26 +122,34 @@
       table,
       log,
       random,
+      isOnDuty: () => this.#isFollower(),
       sink: {
         onWhole: (rows, version) => {
-          this.#aheadSinceMillis = undefined;
           state.applyWhole(table, rows, {
             version,
             nowMillis: performance.now(),
           });
+          this.#aheadSinceMillis = undefined;
         },
         onChanges: (rows) => {
-          this.#aheadSinceMillis = undefined;
           state.apply(rows, performance.now());
+          this.#aheadSinceMillis = undefined;
         },
         onReachable: (reachable) => {
-          this.#unreachable = !reachable;
-          if (reachable) state.storeBackAtMillis = performance.now();
+          const nowMillis = performance.now();
+          this.#lostAtMillis = reachable ? undefined : nowMillis;
+          if (reachable) state.noteStoreBack(nowMillis);
         },
       },
     });
   }
 
+  /** Entries are named that aren't known: reads their table unless that was just done. */
+  readMembersSoon(): void {
+    const sinceMillis = performance.now() - this.#membersReadAtMillis;
+    if (sinceMillis > unknownMembersReadMillis) this.readMembers();
+  }
+
   /**
    * Reads the entries' table. An entry reads it once more after it registered:
    * of two that start together, at least one then sees the other.
@@ -125,6 +159,7 @@
     this.#membersWanted = true;
     if (this.#readingMembers) return;
     this.#readingMembers = true;
+    this.#membersReadAtMillis = performance.now();
     while (this.#membersWanted && !this.#stopped) {
       this.#membersWanted = false;
       try {
@@ -145,7 +180,7 @@
   /** Without any state, and the store away, every known entry may help. */
   #borrowAtStart(): void {
     const { state, seeds, self } = this.#options;
-    if (state.isComplete || !this.#unreachable) return;
+    if (state.isComplete || this.#lostAtMillis === undefined) return;
     const known = state.members.all().map(({ record }) => record.stateAddress);
     const others = [...new Set([...seeds, ...known])].filter((address) =>
       address !== self.stateAddress
@@ -157,23 +192,36 @@
     address: string,
     options: { always?: boolean } = {},
   ): Promise<void> {
-    const { log } = this.#options;
+    const { log, state } = this.#options;
     const nowMillis = performance.now();
-    const waited = nowMillis - this.#borrowedAtMillis;
-    if (!options.always && waited < borrowIntervalMillis) return;
+    const waitedMillis = nowMillis - this.#borrowedAtMillis;
+    const isEarly = this.#borrowing || waitedMillis < borrowIntervalMillis;
+    if (isEarly && !options.always) return;
     this.#borrowedAtMillis = nowMillis;
-    const borrowed = await borrowState(address, log);
-    if (borrowed === undefined || borrowed.rows.length === 0) return;
-    log.info("state_borrowed", { from: address, rows: borrowed.rows.length });
-    this.#apply(borrowed.rows);
+    this.#borrowing = true;
+    const { versions } = state.archive;
+    const delta = await borrowState(address, { versions, log });
+    this.#borrowing = false;
+    if (delta === undefined || delta.rows.length === 0) return;
+    log.info("state_borrowed", {
+      from: address,
+      rows: delta.rows.length,
+      whole: delta.whole,
+    });
+    this.#apply(delta);
   }
 
-  #apply(rows: StateRow[]): void {
+  #apply({ rows, whole, versions }: RowDelta): void {
     const { state } = this.#options;
     const nowMillis = performance.now();
-    if (state.isComplete) return state.apply(rows, nowMillis);
-    for (const table of [StateTable.operator, StateTable.targets]) {
-      state.applyWhole(table, rows, { version: 0, nowMillis });
-    }
+    if (whole) {
+      for (const table of [StateTable.operator, StateTable.targets]) {
+        const version = versions[table === StateTable.targets ? 1 : 0];
+        state.applyWhole(table, rows, { version, nowMillis });
+      }
+    } else state.apply(rows, nowMillis);
+    this.#operator.advance(versions[0]);
+    this.#targets.advance(versions[1]);
+    this.#aheadSinceMillis = undefined;
   }
 }
--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -20,6 +20,12 @@
     When all of them press for 5 seconds
     Then no second holds more than 9 requests
 
+  Scenario: A cold target in a large region doesn't get every entry's first request at once
+    Given 28 entries of a region that share a cold target of 5.1 requests a second
+    When all of them press for 5 seconds
+    Then no second holds more than 11 requests
+    And every target of 40 has a sender
+
   Scenario: An older row never replaces a newer one
     Then random orders of a target's rows end with its newest state
 
@@ -48,6 +54,16 @@
     Given a region with a sixth of the slots at full load
     Then its share of homes elsewhere grows by at most 0.08 in any 2 seconds
 
+  Scenario: A region short of room begins with homes elsewhere
+    Given a region with a third of the entries and a sixth of the slots
+    When its entries start together
+    Then half of its homes are elsewhere at once
+
+  Scenario: An entry that starts takes over its region's share
+    Given entries of a region that keep a share of 0.3 elsewhere
+    When another entry starts that would begin with 0.5
+    Then its share is 0.3 and stays within 0.08 of theirs under the same load
+
   Scenario: A free slot is for whoever comes while load is low
     Then a late request is accepted at load 0.2 and refused at load 0.9
 
@@ -71,6 +87,16 @@
     When one is silent for 1.6 s
     Then only the other is named
 
+  Scenario: The entries of another data centre are known from its digests
+    Given a digest of entries "c" and "d" of another data centre with 3 requests at a target
+    Then both are named, and 3 requests are at the target
+    And after a digest without "d" only "c" is named
+    And after 2.6 s of silence none is named and 0 requests are at the target
+
+  Scenario: Duties of a data centre fall to few entries
+    Then of 14 entries that hear each other 1 is the relay and 2 follow the store
+    And when the first 2 of 14 lose the store the next 2 follow it
+
   Scenario: A late heartbeat of an earlier life changes nothing
     Given an entry that was heard in its second life
     When a heartbeat of its first life arrives
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -8,12 +8,19 @@
 import { admitRequest } from "@bamboolane/steering/admit_request";
 import { ColdMeter } from "@bamboolane/steering/cold_meter";
 import { RouteIndex } from "@bamboolane/steering/match_route";
+import {
+  type Candidate,
+  isRelay,
+  isStoreFollower,
+} from "@bamboolane/steering/elect_entries";
 import { MemberView } from "@bamboolane/steering/member_view";
 import { nameEntries } from "@bamboolane/steering/name_entries";
 import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
 import { placeRequest } from "@bamboolane/steering/place_request";
-import { RegionShare } from "@bamboolane/steering/region_share";
+import { AgreedShares } from "@bamboolane/steering/agreed_shares";
+import { priorShare, RegionShare } from "@bamboolane/steering/region_share";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
+import { shareColdRate } from "@bamboolane/steering/share_cold_rate";
 import { ServiceEstimate } from "@bamboolane/steering/service_estimate";
 import { SplitPicker } from "@bamboolane/steering/split_picker";
 import {
@@ -173,24 +180,60 @@
 );
 
 let meters: ColdMeter[] = [];
-let coldPerSecond = 0;
+let coldRates: number[] = [];
+let coldEntries: string[] = [];
 const coldTimes: number[] = [];
 
 Given(
   "{int} entries of a region and a cold target of {float} requests a second",
   (entries: number, rate: number) => {
     meters = Array.from({ length: entries }, () => new ColdMeter());
-    coldPerSecond = rate / entries;
+    coldTimes.length = 0;
+    coldEntries = Array.from({ length: entries }, (_, i) => `entry-${i}`);
+    coldRates = coldEntries.map((id) =>
+      coldRateOf(id, { target: "cold", perSecond: rate })
+    );
+  },
+);
+
+Given(
+  "{int} entries of a region that share a cold target of {float} requests a second",
+  (count: number, perSecond: number) => {
+    coldTimes.length = 0;
+    coldEntries = Array.from({ length: count }, (_, i) => `entry-${i}`);
+    coldRates = coldEntries.map((id) =>
+      coldRateOf(id, { target: "cold", perSecond })
+    );
+    meters = coldEntries.map(() => new ColdMeter());
   },
 );
 
+function coldRateOf(
+  id: string,
+  options: { target: string; perSecond: number },
+): number {
+  const others = coldEntries.filter((other) => other !== id);
+  return shareColdRate(id, { ...options, others });
+}
+
+Then("every target of {int} has a sender", (count: number) => {
+  for (let i = 0; i < count; i++) {
+    const rates = coldEntries.map((id) =>
+      coldRateOf(id, { target: `target-${i}`, perSecond: 5.1 })
+    );
+    const sum = rates.reduce((a, b) => a + b, 0);
+    assert.ok(Math.abs(sum - 5.1) < 1e-9, `target-${i}: ${sum}`);
+  }
+});
+
 When("all of them press for {int} seconds", (seconds: number) => {
   for (let nowMillis = 0; nowMillis < seconds * 1000; nowMillis += 5) {
-    for (const meter of meters) {
-      if (!meter.allows(nowMillis, { perSecond: coldPerSecond })) continue;
+    meters.forEach((meter, i) => {
+      const perSecond = coldRates[i];
+      if (perSecond <= 0 || !meter.allows(nowMillis, { perSecond })) return;
       meter.take();
       coldTimes.push(nowMillis);
-    }
+    });
   }
 });
 
@@ -406,7 +449,7 @@
       share.update(
         { inFlight: 9, slots: 6 },
         { inFlight: 3, slots: 30 },
-        i * 50,
+        { nowMillis: i * 50, agreed: undefined, prior: 0 },
       );
       shares.push(share.share);
     }
@@ -417,6 +460,70 @@
   },
 );
 
+const calm = { inFlight: 4, slots: 6 };
+let prior = 0;
+
+Given("a region with a third of the entries and a sixth of the slots", () => {
+  prior = priorShare({ near: 4, all: 12 }, { near: 6, all: 36 });
+});
+
+When("its entries start together", () => {
+  share = new RegionShare();
+  share.update(calm, calm, { nowMillis: 0, agreed: undefined, prior });
+});
+
+Then("half of its homes are elsewhere at once", () => {
+  assert.equal(share.share, 0.5);
+  const even = priorShare({ near: 4, all: 12 }, { near: 12, all: 36 });
+  assert.equal(
+    even,
+    0,
+    "a region with its part of the slots keeps its objects",
+  );
+});
+
+let agreedShares: AgreedShares;
+
+Given(
+  "entries of a region that keep a share of {float} elsewhere",
+  (told: number) => {
+    agreedShares = new AgreedShares();
+    for (const source of ["a", "b"]) {
+      agreedShares.note(source, new Map([["s", told]]), 60_000);
+    }
+  },
+);
+
+When(
+  "another entry starts that would begin with {float}",
+  (ownPrior: number) => {
+    share = new RegionShare();
+    prior = ownPrior;
+    updateAgreed(0);
+  },
+);
+
+function updateAgreed(nowMillis: number): void {
+  // This entry alone believes that the region has room.
+  share.update({ inFlight: 1, slots: 6 }, calm, {
+    nowMillis,
+    agreed: agreedShares.mean("s", nowMillis),
+    prior,
+  });
+}
+
+Then(
+  "its share is {float} and stays within {float} of theirs under the same load",
+  (told: number, most: number) => {
+    assert.equal(share.share, told);
+    for (let nowMillis = 50; nowMillis < 20_000; nowMillis += 50) {
+      updateAgreed(nowMillis);
+      assert.ok(Math.abs(share.share - told) <= most + 1e-9, `${share.share}`);
+    }
+    assert.equal(agreedShares.mean("s", 60_000), undefined);
+  },
+);
+
 const lateRequest = {
   waitMillis: 0,
   serviceMillis: 500,
@@ -505,7 +612,11 @@
 );
 
 let members: MemberView;
-const heard = { serving: true, inFlight: new Map([["t", 2]]) };
+const heard = {
+  serving: true,
+  reachesStore: true,
+  inFlight: new Map([["t", 2]]),
+};
 
 Given("two entries that were heard", () => {
   members = new MemberView();
@@ -524,13 +635,94 @@
   assert.equal(members.count, 3, "the silent one still counts");
 });
 
+Given(
+  "a digest of entries {string} and {string} of another data centre with {int} requests at a target",
+  (first: string, second: string, count: number) => {
+    members = new MemberView();
+    members.apply(first, entry(first, "b1", "b"), 1);
+    members.apply(second, entry(second, "b1", "b"), 2);
+    const known = members.hearDigest({
+      relay: entry(first, "b1", "b"),
+      serving: [first, second],
+      inFlight: new Map([["t", count]]),
+    }, 0);
+    assert.ok(known);
+  },
+);
+
+function namedAt(nowMillis: number): string[] {
+  return members.serving(nowMillis).map(({ record }) => record.id).sort();
+}
+
+Then("both are named, and {int} requests are at the target", (n: number) => {
+  assert.deepEqual(namedAt(100), ["c", "d"]);
+  assert.equal(members.inFlightAt("t", 100), n);
+});
+
+Then(
+  "after a digest without {string} only {string} is named",
+  (_gone: string, left: string) => {
+    members.hearDigest({
+      relay: entry(left, "b1", "b"),
+      serving: [left],
+      inFlight: new Map([["t", 1]]),
+    }, 600);
+    assert.deepEqual(namedAt(700), [left]);
+    assert.equal(members.inFlightAt("t", 700), 1);
+  },
+);
+
+Then(
+  "after {float} s of silence none is named and {int} requests are at the target",
+  (seconds: number, count: number) => {
+    const nowMillis = 600 + seconds * 1000;
+    assert.deepEqual(namedAt(nowMillis), []);
+    assert.equal(members.inFlightAt("t", nowMillis), count);
+  },
+);
+
+function candidates(count: number, lost = 0): Candidate[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `entry-${String(i).padStart(2, "0")}`,
+    reachesStore: i >= lost,
+  }));
+}
+
+function followersOf(all: readonly Candidate[]): string[] {
+  return all.filter((self) =>
+    isStoreFollower(self, all.filter((other) => other !== self))
+  ).map(({ id }) => id);
+}
+
+Then(
+  "of {int} entries that hear each other {int} is the relay and {int} follow the store",
+  (count: number, relays: number, followers: number) => {
+    const all = candidates(count);
+    const ids = all.map(({ id }) => id);
+    const speaking = ids.filter((self) =>
+      isRelay(self, ids.filter((id) => id !== self))
+    );
+    assert.equal(speaking.length, relays);
+    assert.equal(followersOf(all).length, followers);
+  },
+);
+
+Then(
+  "when the first {int} of {int} lose the store the next {int} follow it",
+  (lost: number, count: number, followers: number) => {
+    const all = candidates(count, lost);
+    const expected = all.slice(lost, lost + followers).map(({ id }) => id);
+    assert.deepEqual(followersOf(all), expected);
+  },
+);
+
 Given("an entry that was heard in its second life", () => {
   members = new MemberView();
   members.hear({ ...entry("a", "a1", "a"), incarnation: 2 }, heard, 0);
 });
 
 When("a heartbeat of its first life arrives", () => {
-  const earlier = { serving: false, inFlight: new Map() };
+  const earlier = { serving: false, reachesStore: true, inFlight: new Map() };
   assert.equal(members.hear(entry("a", "a1", "a"), earlier, 10), false);
 });
 
--- /dev/null
+++ b/packages/steering/src/in_flight_sums.ts
@@ -0,0 +1,69 @@
+/**
+ * Sums what other entries have in flight at each target. Every source replaces
+ * its own counts as a whole and is forgotten when it falls silent; the sums
+ * are kept up to date, so that a placement reads them in constant time however
+ * many entries there are.
+ */
+
+interface Source {
+  counts: ReadonlyMap<string, number>;
+  untilMillis: number;
+}
+
+/** Requests in flight by target, summed over sources. */
+export class InFlightSums {
+  readonly #sources = new Map<string, Source>();
+  readonly #sums = new Map<string, number>();
+  #nextExpiryMillis = Infinity;
+
+  /** Replaces what `source` reported; it counts until `untilMillis`. */
+  set(
+    source: string,
+    counts: ReadonlyMap<string, number>,
+    untilMillis: number,
+  ): void {
+    this.remove(source);
+    this.#sources.set(source, { counts, untilMillis });
+    this.#nextExpiryMillis = Math.min(this.#nextExpiryMillis, untilMillis);
+    for (const [target, count] of counts) this.#add(target, count);
+  }
+
+  remove(source: string): void {
+    const known = this.#sources.get(source);
+    if (known === undefined) return;
+    this.#sources.delete(source);
+    for (const [target, count] of known.counts) this.#add(target, -count);
+  }
+
+  /** Sum over the sources that still count. */
+  at(target: string, nowMillis: number): number {
+    this.#expire(nowMillis);
+    return this.#sums.get(target) ?? 0;
+  }
+
+  /** Counts of one source; undefined once it is silent. */
+  of(
+    source: string,
+    nowMillis: number,
+  ): ReadonlyMap<string, number> | undefined {
+    this.#expire(nowMillis);
+    return this.#sources.get(source)?.counts;
+  }
+
+  #expire(nowMillis: number): void {
+    if (nowMillis < this.#nextExpiryMillis) return;
+    this.#nextExpiryMillis = Infinity;
+    for (const [name, { untilMillis }] of this.#sources) {
+      if (untilMillis <= nowMillis) this.remove(name);
+      else {
+        this.#nextExpiryMillis = Math.min(this.#nextExpiryMillis, untilMillis);
+      }
+    }
+  }
+
+  #add(target: string, count: number): void {
+    const sum = (this.#sums.get(target) ?? 0) + count;
+    if (sum === 0) this.#sums.delete(target);
+    else this.#sums.set(target, sum);
+  }
+}
--- a/packages/steering/src/region_share.ts
+++ b/packages/steering/src/region_share.ts
@@ -3,7 +3,9 @@
  * answers a region short of room: with a sixth of the slots and a third of the
  * callers, most objects have to live elsewhere for good, not be pushed out
  * request by request. The share follows the load slowly, so that no window
- * sees a large shift.
+ * sees a large shift. The entries of a region keep to a common share; one that
+ * starts takes over theirs, and where all start together they begin with what
+ * the places of entries and slots suggest.
  */
 
 /** Load of one side: requests at its targets, and their slots. */
@@ -23,6 +25,31 @@
 /** Weight of one look at the load; looks come several times a second. */
 const loadWeight = 0.1;
 
+/** Time in which an entry comes close to the others' share: ten heartbeats. */
+const agreementMillis = 2000;
+
+/** What the share depends on besides the load. */
+export interface ShareContext {
+  nowMillis: number;
+  /** Mean share of the region's other entries; undefined where none told it. */
+  agreed: number | undefined;
+  /** Share to begin with where nobody told one. */
+  prior: number;
+}
+
+/**
+ * Share to begin with: callers are taken to be spread as the entries are, so a
+ * region with a larger part of the entries than of the slots is short of room.
+ */
+export function priorShare(
+  entries: { near: number; all: number },
+  slots: { near: number; all: number },
+): number {
+  if (slots.near === 0 || entries.near === 0) return 0;
+  const callers = entries.near / entries.all;
+  return Math.max(0, 1 - slots.near / slots.all / callers);
+}
+
 /** Share of objects that leave the region. */
 export class RegionShare {
   #share = 0;
@@ -42,7 +69,11 @@
   }
 
   /** Looks at the load of both sides. */
-  update(near: RegionLoad, far: RegionLoad, nowMillis: number): void {
+  update(near: RegionLoad, far: RegionLoad, context: ShareContext): void {
+    const { nowMillis, agreed } = context;
+    if (this.#updatedAtMillis === undefined) {
+      this.#share = agreed ?? context.prior;
+    }
     const elapsedMillis = nowMillis - (this.#updatedAtMillis ?? nowMillis);
     this.#updatedAtMillis = nowMillis;
     this.#nearLoad += (loadOf(near) - this.#nearLoad) * loadWeight;
@@ -52,6 +83,10 @@
       slots: near.slots + far.slots,
     });
     this.#load += (all - this.#load) * loadWeight;
+    if (agreed !== undefined) {
+      const part = Math.min(1, elapsedMillis / agreementMillis);
+      this.#share += (agreed - this.#share) * part;
+    }
     const step = shareStepPerSecond * Math.min(1000, elapsedMillis) / 1000;
     const lead = this.#nearLoad - this.#farLoad;
     if (this.#nearLoad > fullLoad && lead > leastLead) this.#share += step;
--- a/packages/steering/src/target_book.ts
+++ b/packages/steering/src/target_book.ts
@@ -13,6 +13,16 @@
 /** Records that lapsed during an outage are back within this time of its end. */
 export const lapseGraceMillis = 2000;
 
+/** What a row did; `none` where it was newer and said nothing new. */
+export type TargetChange =
+  | "added"
+  | "changed"
+  | "replaced"
+  | "removed"
+  | "lapsed"
+  | "none"
+  | "stale";
+
 /** Targets by id and by service. */
 export class TargetBook {
   readonly #targets = new Map<string, TargetBelief>();
@@ -22,14 +32,14 @@
   readonly #lapsed = new Map<string, number>();
   #complete = false;
 
-  /** Applies one row. Returns what changed, for the log. */
+  /** Applies one row. Returns what changed: `stale` for a row that is not newer. */
   apply(
     row: { id: string; version: number; record: TargetRecord | undefined },
     options: { nowMillis: number; storeBackAtMillis: number },
-  ): "added" | "changed" | "replaced" | "removed" | "lapsed" | "none" {
+  ): TargetChange {
     const known = this.#targets.get(row.id);
     const newest = known?.version ?? this.#removedAtVersion.get(row.id) ?? 0;
-    if (row.version <= newest) return "none";
+    if (row.version <= newest) return "stale";
     if (row.record === undefined) {
       return this.#drop(row, known, options);
     }
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -28,6 +28,8 @@
   #version = 0;
   #oldestKept = 0;
   readonly #down = new Set<string>();
+  /** Watches that wait now, by client. */
+  readonly #watching = new Map<string, number>();
 
   /** Writes a row; returns its version. */
   put(table: StateTable, row: NewRow): number {
@@ -49,6 +51,12 @@
     else this.#down.delete(client);
   }
 
+  /** Clients that wait for changes now. */
+  watchers(): string[] {
+    return [...this.#watching].filter(([, open]) => open > 0)
+      .map(([client]) => client).sort();
+  }
+
   /** A client for one entry. */
   connect(client: string): StateStore {
     const check = () => {
@@ -67,15 +75,20 @@
       },
       watch: async (table, afterVersion, options): Promise<WatchResult> => {
         const endMillis = performance.now() + options.waitMillis;
-        while (true) {
-          check();
-          if (afterVersion < this.#oldestKept - 1) return { kind: "gap" };
-          const rows = this.#changed(table, afterVersion);
-          const over = closed || performance.now() > endMillis;
-          if (rows.length > 0 || over) {
-            return { kind: "changes", rows, version: this.#version };
+        this.#countWatch(client, 1);
+        try {
+          while (true) {
+            check();
+            if (afterVersion < this.#oldestKept - 1) return { kind: "gap" };
+            const rows = this.#changed(table, afterVersion);
+            const over = closed || performance.now() > endMillis;
+            if (rows.length > 0 || over) {
+              return { kind: "changes", rows, version: this.#version };
+            }
+            await new Promise((resolve) => setTimeout(resolve, pollMillis));
           }
-          await new Promise((resolve) => setTimeout(resolve, pollMillis));
+        } finally {
+          this.#countWatch(client, -1);
         }
       },
       register: (record: EntryRecord) =>
@@ -100,6 +113,10 @@
     };
   }
 
+  #countWatch(client: string, change: number): void {
+    this.#watching.set(client, (this.#watching.get(client) ?? 0) + change);
+  }
+
   #changed(table: StateTable, after: number): StateRow[] {
     return [...this.#rows.values()]
       .filter((stored) => stored.table === table && stored.row.version > after)
