Wait once for a slow caller, however many parts arrive meanwhile

Cause: parts that undici had already read still came after a pause, and each of them added a listener for the caller's drain; a long answer to a slow reader gathered them until Node warned of a leak. Change: one wait at a time.

--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -105,6 +105,7 @@
   #chunks: Buffer[] = [];
   #size = 0;
   #streaming = false;
+  #paused = false;
   /** False for an answer that ends with its connection. */
   #framed = true;
 
@@ -252,9 +253,14 @@
   }
 
   #passOn(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#request.sink.write(chunk)) return;
+    if (this.#request.sink.write(chunk) || this.#paused) return;
+    // Parts that were already read still come after a pause.
+    this.#paused = true;
     controller.pause();
-    this.#request.sink.onDrain(() => controller.resume());
+    this.#request.sink.onDrain(() => {
+      this.#paused = false;
+      controller.resume();
+    });
   }
 
   #end(end: AttemptEnd): void {
