Trace one request through several processes' logs

Cause: a request's end was logged, but neither the choice of a target nor what a refusal was reckoned from, and joining several logs was left to grep. Change: a line per send with its inputs and their versions, refusals with expected time and bound, `bamboolane trace`. The gateway's steps are split by subject.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -16,6 +16,7 @@
 import { moveCommand } from "./commands/move/move_command.ts";
 import { reportCommand } from "./commands/report/report_command.ts";
 import { statusCommand } from "./commands/status/status_command.ts";
+import { traceCommand } from "./commands/trace/trace_command.ts";
 import { ExitCode, exitCodeFor } from "./exit_codes.ts";
 
 function fail(message: string | null, error: Error | undefined): never {
@@ -44,6 +45,7 @@
   .command(lookupCommand)
   .command(explainCommand)
   .command(reportCommand)
+  .command(traceCommand)
   .demandCommand(1, "Name a command.")
   .strict()
   .fail((message, error) => fail(message, error))
--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -119,6 +119,50 @@
     Then the answer is 503 with a Retry-After
     And "t1" saw 0 requests
 
+  Scenario: When an evacuation ends, its targets get requests again, few at first
+    Given a target "t1" that answers
+    And an entry "e1"
+    When data centre "a1" is evacuated
+    And the evacuation of data centre "a1" ends
+    Then "e1" answers 200 to "/read/x" within 1 s
+    And "t1" sees at most 20 requests while 10 callers of "e1" press for 400 ms
+
+  Scenario: A route keeps to its regions
+    Given a target "t1" in data centre "b1" that answers
+    And an entry "e1"
+    When a caller of "e1" gets "/home/x" with 900 ms left
+    Then the answer is 503 with a Retry-After
+    And "t1" saw 0 requests
+    When a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 200 with the target's body and signature
+
+  Scenario: A long answer is passed on part by part
+    Given a target "t1" that sends 400 kB slowly
+    And an entry "e1"
+    When a caller of "e1" reads "/read/x" part by part
+    Then the first part comes before the target has sent the last
+    And all 400 kB come in order
+    And the process warned of nothing
+
+  Scenario: A long answer that breaks off doesn't look complete
+    Given a target "t1" that sends 400 kB slowly and resets at the end
+    And an entry "e1"
+    When a caller of "e1" reads "/read/x" part by part
+    Then the answer breaks off
+
+  Scenario: A target that answers before it has read the body spoils no later request
+    Given a target "t1" that answers early
+    And an entry "e1"
+    When a caller of "e1" posts a body of 9000 bytes to "/write/x" 4 times in turn
+    Then each answer is 200 with its own body
+    And the targets saw 4 whole requests
+
+  Scenario: A stop with pipelined requests answers those that run and closes after the last
+    Given a target "t1" that answers after 400 ms
+    And an entry "e1"
+    When a caller of "e1" pipelines 3 requests and "e1" stops
+    Then 3 answers come in order and only the last closes the connection
+
   Scenario: A configuration takes effect and an older one never comes back
     Given a target "t1" that answers
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -2,50 +2,37 @@
  * Steps that send requests through gateways on real sockets.
  */
 import assert from "node:assert/strict";
+import process from "node:process";
 import { connect, type Socket } from "node:net";
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
-import { StateTable } from "@bamboolane/gateway/state_store";
 import {
   formatAnswer,
   type Script,
   type SeenRequest,
 } from "@bamboolane/standins/scripted_target";
-import type { RunningGateway } from "@bamboolane/gateway/start_gateway";
 import {
-  testConfig,
-  type TestEntry,
-  TestGateway,
-  until,
-} from "./support/test_gateway.ts";
-
-interface Reply {
-  status: number;
-  headers: Record<string, string | string[] | undefined>;
-  body: string;
-  tookMillis: number;
-}
+  call,
+  lastReply,
+  pause,
+  type Reply,
+  world,
+} from "./support/scenario.ts";
+import { testConfig, TestGateway, until } from "./support/test_gateway.ts";
 
-let system: TestGateway;
-let replies: Reply[] = [];
 let raw = "";
 let crashes = 0;
-let nextId = 0;
 
 Before({ tags: "not @none" }, () => {
-  replies = [];
+  world.replies = [];
   raw = "";
   crashes = 0;
 });
 
 After(async () => {
-  await system?.close();
+  await world.system?.close();
 });
 
-function lastReply(): Reply {
-  return replies[replies.length - 1];
-}
-
 function bodyOf(seen: SeenRequest): string {
   return `body of ${seen.headers["test-request"]}`;
 }
@@ -62,9 +49,6 @@
   socket.write(formatAnswer(200, signed(seen), bodyOf(seen)));
 }
 
-const pause = (millis: number) =>
-  new Promise<void>((resolve) => setTimeout(resolve, millis));
-
 const scripts: Record<string, Script> = {
   "answers": answerSoundly,
   "closes without an answer": (_seen, socket) => {
@@ -111,12 +95,111 @@
     await pause(seen.path.endsWith("/0") ? 150 : 5);
     answerSoundly(seen, socket);
   },
+  "answers early": (seen, socket) => {
+    // The scripted target calls this as soon as the head is in.
+    answerSoundly(seen, socket);
+  },
+  "sends 400 kB slowly": (seen, socket) => sendLong(seen, socket),
+  "sends 400 kB slowly and resets at the end": async (seen, socket) => {
+    await sendLong(seen, socket, { bytes: longBytes - 1 });
+    socket.resetAndDestroy();
+  },
   "answers after 400 ms": async (seen, socket) => {
     await pause(400);
     answerSoundly(seen, socket);
   },
 };
 
+const longBytes = 400_000;
+const partBytes = 20_000;
+let lastPartSent = false;
+
+/** A byte of the long answer tells its place. */
+function longPart(from: number, to: number): Buffer {
+  return Buffer.from(
+    Array.from({ length: to - from }, (_, i) => (from + i) % 251),
+  );
+}
+
+async function sendLong(
+  seen: SeenRequest,
+  socket: Socket,
+  options: { bytes: number } = { bytes: longBytes },
+): Promise<void> {
+  lastPartSent = false;
+  const lines = Object.entries(signed(seen)).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  socket.write(
+    `HTTP/1.1 200 X\r\n${lines.join("")}Content-Length: ${longBytes}\r\n\r\n`,
+  );
+  for (let at = 0; at < options.bytes; at += partBytes) {
+    const end = Math.min(options.bytes, at + partBytes);
+    if (at + partBytes >= longBytes) {
+      await until(() => longReceived > 0, "the caller has the first part");
+      lastPartSent = true;
+    }
+    socket.write(longPart(at, end));
+    await pause(2);
+  }
+}
+
+let longReceived = 0;
+let longBody = Buffer.alloc(0);
+let longError: Error | undefined;
+let firstPartBeforeLast = false;
+
+When(
+  "a caller of {string} reads {string} part by part",
+  async (entry: string, path: string) => {
+    longReceived = 0;
+    longError = undefined;
+    const parts: Buffer[] = [];
+    const reply = await request(
+      `http://${world.system.settings(entry).listen.callers}${path}`,
+      {
+        headers: {
+          host: "test.example",
+          "test-request": "long",
+          "test-deadline": "1900",
+        },
+      },
+    );
+    try {
+      for await (const part of reply.body) {
+        if (longReceived === 0) firstPartBeforeLast = !lastPartSent;
+        longReceived += part.byteLength;
+        parts.push(part);
+      }
+    } catch (error) {
+      longError = error as Error;
+    }
+    longBody = Buffer.concat(parts);
+  },
+);
+
+Then("the first part comes before the target has sent the last", () => {
+  assert.ok(firstPartBeforeLast);
+});
+
+Then("all {int} kB come in order", (kilobytes: number) => {
+  assert.equal(longError, undefined);
+  assert.equal(longBody.byteLength, kilobytes * 1000);
+  assert.ok(longBody.equals(longPart(0, longBytes)));
+});
+
+const warnings: string[] = [];
+process.on("warning", (warning) => warnings.push(String(warning)));
+
+Then("the process warned of nothing", () => {
+  assert.deepEqual(warnings.filter((text) => text.includes("Listeners")), []);
+});
+
+Then("the answer breaks off", () => {
+  assert.ok(longError !== undefined, "the caller sees an error");
+  assert.ok(longBody.byteLength < longBytes);
+});
+
 function unframed(seen: SeenRequest): string {
   const lines = Object.entries(signed(seen)).map(([name, value]) =>
     `${name}: ${value}\r\n`
@@ -126,112 +209,89 @@
 }
 
 Given("a store with a route of each kind", () => {
-  system = new TestGateway();
-  system.publish(testConfig(5));
+  world.system = new TestGateway();
+  world.system.publish(testConfig(5));
 });
 
 Given(
-  /^a target "(\w+)" that (answers|closes without an answer|refuses without running|answers .*|resets .*|sends bytes .*|never answers)$/,
+  /^a target "(\w+)" that (answers|closes without an answer|refuses without running|answers .*|resets .*|sends .*|never answers)$/,
   async (id: string, what: string) => {
     const script = scripts[what];
     assert.ok(script, `no script for "${what}"`);
-    await system.addTarget(id, script);
+    await world.system.addTarget(id, script, {
+      early: what === "answers early",
+    });
   },
 );
 
+Given(
+  /^a target "(\w+)" in data centre "(\w+)" that answers$/,
+  (id: string, dataCentre: string) =>
+    world.system.addTarget(id, scripts.answers, { dataCentre }),
+);
+
 Given("a target {string} that crashes", async (id: string) => {
-  await system.addTarget(id, async (_seen, socket) => {
+  await world.system.addTarget(id, async (_seen, socket) => {
     crashes++;
-    const closed = system.targets.get(id)?.close();
+    const closed = world.system.targets.get(id)?.close();
     socket.destroy();
     await closed;
   });
 });
 
-Given("an entry {string}", (id: string) => system.addEntry(id));
+Given("an entry {string}", (id: string) => world.system.addEntry(id));
 
 Given(
   "an entry {string} that may repeat",
-  (id: string) => system.addEntry(id, { mayRepeat: true }),
+  (id: string) => world.system.addEntry(id, { mayRepeat: true }),
 );
 
 Given(
   "an entry {string} that can't reach the store",
-  (id: string) => system.addEntry(id, { down: true }),
+  (id: string) => world.system.addEntry(id, { down: true }),
 );
 
 Given(
   "an entry {string} that can't reach the store, with {string} as seed",
   (id: string, seed: string) =>
-    system.addEntry(id, { down: true, seeds: [seed] }),
+    world.system.addEntry(id, { down: true, seeds: [seed] }),
 );
 
 Given(
   "an entry {string} in data centre {string}",
-  (id: string, dataCentre: string) => system.addEntry(id, { dataCentre }),
+  (id: string, dataCentre: string) => world.system.addEntry(id, { dataCentre }),
 );
 
 Given(
   "entries {string} and {string} that start together",
   async (first: string, second: string) => {
-    await Promise.all([system.addEntry(first), system.addEntry(second)]);
+    await Promise.all([
+      world.system.addEntry(first),
+      world.system.addEntry(second),
+    ]);
   },
 );
 
-interface CallOptions {
-  method?: "GET" | "POST";
-  deadlineMillis?: number;
-  headers?: Record<string, string>;
-  body?: string;
-}
-
-async function call(
-  entry: string,
-  path: string,
-  options: CallOptions = {},
-): Promise<Reply> {
-  const startMillis = performance.now();
-  const id = `r${nextId++}`;
-  const reply = await request(
-    `http://${system.settings(entry).listen.callers}${path}`,
-    {
-      method: options.method ?? "GET",
-      headers: {
-        host: "test.example",
-        "test-request": id,
-        "test-deadline": String(options.deadlineMillis ?? 1500),
-        ...options.headers,
-      },
-      body: options.body ?? null,
-    },
-  );
-  const body = await reply.body.text();
-  return {
-    status: reply.statusCode,
-    headers: { ...reply.headers, "sent-id": id },
-    body,
-    tookMillis: performance.now() - startMillis,
-  };
-}
-
 When(
   "a caller of {string} gets {string} with {int} ms left",
   async (entry: string, path: string, deadlineMillis: number) => {
-    replies.push(await call(entry, path, { deadlineMillis }));
+    world.replies.push(await call(entry, path, { deadlineMillis }));
   },
 );
 
 When(
   "a caller of {string} gets {string} {int} times in turn",
   async (entry: string, path: string, times: number) => {
-    for (let i = 0; i < times; i++) replies.push(await call(entry, path));
+    for (let i = 0; i < times; i++) world.replies.push(await call(entry, path));
   },
 );
 
 When(
   "a caller of {string} posts {string}",
   async (entry: string, path: string) => {
-    replies.push(await call(entry, path, { method: "POST", body: "one" }));
+    world.replies.push(
+      await call(entry, path, { method: "POST", body: "one" }),
+    );
   },
 );
 
@@ -245,21 +305,21 @@
       "too long a body": () =>
         call(entry, "/write/x", { method: "POST", body: "x".repeat(10_001) }),
     };
-    replies.push(await sent[what]());
+    world.replies.push(await sent[what]());
   },
 );
 
 When(
   "a caller of {string} leaves after {int} ms",
   async (entry: string, millis: number) => {
-    const { callers } = system.settings(entry).listen;
+    const { callers } = world.system.settings(entry).listen;
     const [host, port] = callers.split(":");
     const socket = connect({ host, port: Number(port) });
     socket.write(
       "GET /read/x HTTP/1.1\r\nHost: test.example\r\nTest-Request: gone\r\n" +
         "Test-Deadline: 5000\r\n\r\n",
     );
-    await until(() => system.seenCount > 0, "the target has the request");
+    await until(() => world.system.seenCount > 0, "the target has the request");
     await pause(millis);
     socket.destroy();
   },
@@ -268,7 +328,7 @@
 When(
   "a caller of {string} pipelines {int} requests",
   async (entry: string, count: number) => {
-    const [host, port] = system.settings(entry).listen.callers.split(":");
+    const [host, port] = world.system.settings(entry).listen.callers.split(":");
     const socket = connect({ host, port: Number(port) });
     socket.on("data", (chunk) => raw += chunk.toString());
     for (let i = 0; i < count; i++) {
@@ -282,89 +342,18 @@
   },
 );
 
-/** Waits until an entry has seen what the store says now. */
-async function settle(entry: string, check: () => boolean): Promise<void> {
-  await until(check, `${entry} follows the store`);
-}
-
-When("{string} reports that it drains", async (id: string) => {
-  system.writeTarget(id, true);
-  for (const [name, { gateway }] of system.entries) {
-    await settle(
-      name,
-      () => gateway.state.targets.get(id)?.isLeaving() ?? false,
-    );
-  }
-});
-
-When("data centre {string} is evacuated", async (dataCentre: string) => {
-  system.store.put(StateTable.operator, {
-    kind: "evacuation",
-    dataCentre,
-    active: true,
-  });
-  for (const [name, { gateway }] of system.entries) {
-    await settle(name, () => gateway.state.isEvacuated(dataCentre));
-  }
-});
-
-When(
-  "revision {int} drops the route {string}",
-  async (revision: number, prefix: string) => {
-    system.publish(testConfig(revision, [prefix]));
-    for (const [name, { gateway }] of system.entries) {
-      await settle(name, () => gateway.state.config?.revision === revision);
-    }
-  },
-);
-
-When(
-  "revision {int} with all routes is written again",
-  async (revision: number) => {
-    system.publish(testConfig(revision));
-    await pause(400);
-  },
-);
-
-When(
-  "the store forgets its history while {string} drains",
-  async (id: string) => {
-    system.writeTarget(id, true);
-    system.store.compact();
-    for (const [name, { gateway }] of system.entries) {
-      await settle(
-        name,
-        () => gateway.state.targets.get(id)?.isLeaving() ?? false,
-      );
-    }
-  },
-);
-
-When(
-  "the store refuses {string} and revision {int} drops the route {string}",
-  async (entry: string, revision: number, prefix: string) => {
-    // Both know each other before the store turns one away.
-    await until(
-      async () => (await system.namesOf(entry)).length === 2,
-      "peers",
-    );
-    system.store.setDown(entry, true);
-    system.publish(testConfig(revision, [prefix]));
-  },
-);
-
 When(
   "{string} stops while a caller waits for {string}",
   async (entry: string, path: string) => {
     const waiting = call(entry, path);
-    await until(() => system.seenCount > 0, "the target has the request");
-    const stopped = system.entries.get(entry)?.gateway.stop();
+    await until(() => world.system.seenCount > 0, "the target has the request");
+    const stopped = world.system.entries.get(entry)?.gateway.stop();
     await pause(50);
-    const { readiness } = system.settings(entry).listen;
+    const { readiness } = world.system.settings(entry).listen;
     const ready = await request(`http://${readiness}/ready`);
     await ready.body.dump();
     assert.equal(ready.statusCode, 503);
-    replies.push(await waiting);
+    world.replies.push(await waiting);
     await stopped;
   },
 );
@@ -373,12 +362,12 @@
   "a caller of {string} gets the same poisonous request {int} times",
   async (entry: string, times: number) => {
     for (let i = 0; i < times; i++) {
-      replies.push(await call(entry, "/read/poison"));
+      world.replies.push(await call(entry, "/read/poison"));
       // Time for the check whether the target is gone.
       await pause(100);
       if (crashes >= 2) break;
     }
-    replies.push(await call(entry, "/read/poison"));
+    world.replies.push(await call(entry, "/read/poison"));
   },
 );
 
@@ -404,7 +393,7 @@
 );
 
 Then("each answer is {int} with its own body", (status: number) => {
-  for (const reply of replies) {
+  for (const reply of world.replies) {
     assert.equal(reply.status, status);
     assert.equal(reply.body, `body of ${reply.headers["sent-id"]}`);
   }
@@ -428,14 +417,14 @@
 });
 
 Then("{string} is not ready any more", async (entry: string) => {
-  const { callers } = system.settings(entry).listen;
+  const { callers } = world.system.settings(entry).listen;
   await assert.rejects(request(`http://${callers}/read/x`));
 });
 
 Then(
   "{string} saw its own id and at most {int} ms",
   (id: string, most: number) => {
-    const seen = system.targets.get(id)?.seen[0] as SeenRequest;
+    const seen = world.system.targets.get(id)?.seen[0] as SeenRequest;
     assert.equal(seen.headers["test-target"], id);
     const left = Number(seen.headers["test-deadline"]);
     assert.ok(left > 0 && left <= most, `${left}`);
@@ -443,20 +432,20 @@
 );
 
 Then("{string} saw {int} requests", (id: string, count: number) => {
-  assert.equal(system.targets.get(id)?.seen.length, count);
+  assert.equal(world.system.targets.get(id)?.seen.length, count);
 });
 
 Then("{string} saw at least {int} request", (id: string, count: number) => {
-  assert.ok((system.targets.get(id)?.seen.length ?? 0) >= count);
+  assert.ok((world.system.targets.get(id)?.seen.length ?? 0) >= count);
 });
 
 Then("the targets saw at most {int} requests", (most: number) => {
-  assert.ok(system.seenCount >= 1 && system.seenCount <= most);
+  assert.ok(world.system.seenCount >= 1 && world.system.seenCount <= most);
 });
 
 Then("the targets' connections were dropped", async () => {
   const dropped = () =>
-    [...system.targets.values()].reduce((n, t) => n + t.dropped(), 0);
+    [...world.system.targets.values()].reduce((n, t) => n + t.dropped(), 0);
   await until(() => dropped() > 0, "the connection is closed");
 });
 
@@ -465,30 +454,6 @@
   assert.deepEqual(order, Array.from({ length: count }, (_, i) => i));
 });
 
-Then(
-  "{string} answers {int} to {string} within {int} s",
-  (entry: string, status: number, path: string, _seconds: number) =>
-    until(
-      async () => (await call(entry, path)).status === status,
-      `${entry} answers ${status}`,
-    ),
-);
-
-Then(
-  "the directories of both name both within {int} s",
-  async (_seconds: number) => {
-    const all = [...system.entries.values()].map(({ settings }) =>
-      settings.listen.callers
-    ).sort();
-    for (const entry of system.entries.keys()) {
-      await until(
-        async () => (await system.namesOf(entry)).join() === all.join(),
-        `${entry} names both`,
-      );
-    }
-  },
-);
-
 Then(
   "at most {int} targets crashed and the last answer is {int}",
   (most: number, status: number) => {
@@ -497,110 +462,80 @@
   },
 );
 
-Then(
-  "only {string} and {string} watch the store within {int} s",
-  (first: string, second: string, _seconds: number) =>
-    until(
-      () => system.store.watchers().join() === `${first},${second}`,
-      `${first} and ${second} watch`,
-    ),
-);
-
-Then(
-  "{string} knows within {int} s that {string} drains",
-  async (entry: string, seconds: number, target: string) => {
-    const startMillis = performance.now();
-    const { state } = gatewayOf(entry);
-    await until(
-      () => state.targets.get(target)?.isLeaving() ?? false,
-      `${entry} knows`,
-    );
-    assert.ok(performance.now() - startMillis < seconds * 1000);
-  },
-);
-
 When(
-  "the store turns {string} and {string} away",
-  (first: string, second: string) => {
-    system.store.setDown(first, true);
-    system.store.setDown(second, true);
+  "a caller of {string} posts a body of {int} bytes to {string} {int} times in turn",
+  async (entry: string, bytes: number, path: string, times: number) => {
+    for (let i = 0; i < times; i++) {
+      const body = String.fromCharCode(97 + i).repeat(bytes);
+      world.replies.push(await call(entry, path, { method: "POST", body }));
+    }
   },
 );
 
-When("{string} falls silent", async (entry: string) => {
-  await gatewayOf(entry).stop();
-  system.entries.delete(entry);
+Then("the targets saw {int} whole requests", async (count: number) => {
+  const seen = () => [...world.system.targets.values()].flatMap((t) => t.seen);
+  await until(
+    () => seen().filter(({ body }) => body.length === 9000).length === count,
+    "all bodies are read",
+  );
+  assert.equal(seen().length, count);
+  for (const { body } of seen()) {
+    assert.equal(body, body[0].repeat(9000), "a body holds its own bytes only");
+  }
 });
 
-function gatewayOf(entry: string): RunningGateway {
-  return (system.entries.get(entry) as TestEntry).gateway;
-}
-
-/** Callers' addresses that a directory should name. */
-function addressesOf(entries: Iterable<string>): string {
-  return [...entries].map((id) => system.settings(id).listen.callers)
-    .sort().join();
-}
-
-Then(
-  "the directory of {string} names all {int} entries within {int} s",
-  (entry: string, count: number, _seconds: number) =>
-    until(async () => {
-      const names = await system.namesOf(entry);
-      return names.length === count &&
-        names.join() === addressesOf(system.entries.keys());
-    }, `${entry} names all`),
-);
-
 Then(
-  "the directory of {string} names {string} and {string} within {int} s",
-  (entry: string, first: string, second: string, _seconds: number) =>
-    until(
-      async () =>
-        (await system.namesOf(entry)).join() === addressesOf([first, second]),
-      `${entry} names ${first} and ${second}`,
-    ),
+  "{string} sees at most {int} requests while {int} callers of {string} press for {int} ms",
+  async (
+    id: string,
+    most: number,
+    callers: number,
+    entry: string,
+    millis: number,
+  ) => {
+    const target = world.system.targets.get(id);
+    const before = target?.seen.length ?? 0;
+    const endMillis = performance.now() + millis;
+    await Promise.all(Array.from({ length: callers }, async () => {
+      while (performance.now() < endMillis) {
+        await call(entry, "/read/x");
+        await pause(5);
+      }
+    }));
+    const seen = (target?.seen.length ?? 0) - before;
+    // Ten a second, as the service says, and one at once.
+    assert.ok(seen >= 1 && seen <= most, `${seen}`);
+  },
 );
 
 When(
-  "the store is away while the record of {string} lapses",
-  async (target: string) => {
-    for (const entry of system.entries.keys()) {
-      system.store.setDown(entry, true);
+  "a caller of {string} pipelines {int} requests and {string} stops",
+  async (entry: string, count: number, _same: string) => {
+    const [host, port] = world.system.settings(entry).listen.callers.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.on("data", (chunk) => raw += chunk.toString());
+    const closed = new Promise<void>((resolve) =>
+      socket.once("close", resolve)
+    );
+    for (let i = 0; i < count; i++) {
+      socket.write(
+        `GET /read/${i} HTTP/1.1\r\nHost: test.example\r\n` +
+          `Test-Request: p${i}\r\nTest-Deadline: 1500\r\n\r\n`,
+      );
     }
-    system.store.put(StateTable.targets, {
-      kind: "target",
-      id: target,
-      record: undefined,
-    });
-    // The followers notice the outage before it ends.
-    await pause(100);
+    await until(() => world.system.seenCount === count, "all requests run");
+    const stopped = world.system.entries.get(entry)?.gateway.stop();
+    await closed;
+    await stopped;
   },
 );
 
-When("the store is back for {string}", async (entry: string) => {
-  const { state } = gatewayOf(entry);
-  const before = state.storeBackAtMillis;
-  system.store.setDown(entry, false);
-  await until(() => state.storeBackAtMillis > before, "the store is back");
-});
-
 Then(
-  "{string} answers {int} to {string} for {int} s",
-  async (entry: string, status: number, path: string, seconds: number) => {
-    const endMillis = performance.now() + seconds * 1000;
-    while (performance.now() < endMillis) {
-      assert.equal((await call(entry, path)).status, status);
-      await pause(50);
-    }
+  "{int} answers come in order and only the last closes the connection",
+  (count: number) => {
+    const order = [...raw.matchAll(/body of p(\d)/g)].map(([, n]) => Number(n));
+    assert.deepEqual(order, Array.from({ length: count }, (_, i) => i));
+    assert.equal(raw.match(/connection: close/gi)?.length, 1, raw);
+    assert.ok(raw.lastIndexOf("HTTP/1.1") < raw.search(/connection: close/i));
   },
 );
-
-Then(
-  "{string} is gone for {string} within {int} s",
-  (target: string, entry: string, _seconds: number) =>
-    until(
-      () => gatewayOf(entry).state.targets.get(target) === undefined,
-      `${target} is gone`,
-    ),
-);
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -3,7 +3,7 @@
  */
 import { createServer } from "node:net";
 import { request } from "undici";
-import { createSilentLogger } from "@bamboolane/logger/create_logger";
+import { createLogger } from "@bamboolane/logger/create_logger";
 import { createSilentMetrics } from "@bamboolane/metrics/create_metrics";
 import type { CallerDialect } from "@bamboolane/gateway/caller_dialect";
 import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
@@ -75,6 +75,7 @@
     route("/read/", Repeat.idempotent, 2000),
     route("/write/", Repeat.atMostOnce, 2000),
     route("/brief/", Repeat.idempotent, 300),
+    { ...route("/home/", Repeat.idempotent, 2000), allowedRegions: ["a"] },
   ];
   return {
     revision,
@@ -114,14 +115,23 @@
   readonly store = new MemoryStateStore();
   readonly entries = new Map<string, TestEntry>();
   readonly targets = new Map<string, ScriptedTarget>();
+  /** Data centres of the targets. */
+  readonly #places = new Map<string, string>();
+  /** What all entries logged. */
+  logText = "";
 
   publish(config: SteeringConfig): void {
     this.store.put(StateTable.operator, { kind: "config", config });
   }
 
-  async addTarget(id: string, script: Script): Promise<void> {
-    const target = await startScriptedTarget({ script });
+  async addTarget(
+    id: string,
+    script: Script,
+    options: { dataCentre?: string; early?: boolean } = {},
+  ): Promise<void> {
+    const target = await startScriptedTarget({ script, early: options.early });
     this.targets.set(id, target);
+    this.#places.set(id, options.dataCentre ?? "a1");
     this.writeTarget(id, false);
   }
 
@@ -134,7 +144,7 @@
         id,
         service: "s",
         address: target.address,
-        dataCentre: "a1",
+        dataCentre: this.#places.get(id) ?? "a1",
         slots: 3,
         draining,
         warmupLeftMillis: 0,
@@ -178,7 +188,11 @@
       settings,
       dialect: testDialect,
       store: this.store.connect(id),
-      log: createSilentLogger(),
+      log: createLogger({
+        level: "info",
+        fixed: { instance: id },
+        write: (text) => this.logText += text,
+      }),
       metrics: createSilentMetrics(),
     });
     this.entries.set(id, { settings, gateway });
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -16,6 +16,16 @@
   retryAfterMillis?: number;
   /** Requests that waited before this one. */
   ahead?: number;
+  /** Requests at the service's targets, in parts of their slots. */
+  load?: number;
+  expectedMillis?: number;
+  /** By when the answer would have been useful. */
+  boundMillis?: number;
+}
+
+/** A load with as many digits as a log line needs. */
+export function roundLoad(load: number): number {
+  return Math.round(load * 100) / 100;
 }
 
 /** Writes the line and counts the request. */
@@ -32,7 +42,7 @@
   const { log, metrics, state, outcome, details } = options;
   const nowMillis = performance.now();
   const tookMillis = nowMillis - request.arrivedAtMillis;
-  const { target, ...rest } = details;
+  const { target, load, ...rest } = details;
   log.info("request", {
     request: request.id,
     route: request.route.name,
@@ -44,6 +54,7 @@
     revision: state.config?.revision,
     sends: request.sends,
     tookMillis: Math.round(tookMillis),
+    load: load === undefined ? undefined : roundLoad(load),
     ...rest,
   });
   metrics.count("bamboolane_requests", 1, {
--- a/packages/gateway/src/request_placer.ts
+++ b/packages/gateway/src/request_placer.ts
@@ -159,7 +159,12 @@
     const { line, flow, share } = this.lane(request.service);
     if (placement.kind === "none" && placement.usableAtMillis === Infinity) {
       const retryAfterMillis = noTargetRetryMillis * (1 + random());
-      return { kind: "refuse", retryAfterMillis };
+      return {
+        kind: "refuse",
+        retryAfterMillis,
+        expectedMillis: Infinity,
+        boundMillis: request.expiresAtMillis - nowMillis,
+      };
     }
     const work = this.estimate(request).meanMillis();
     const flowPerSecond = Math.max(
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -16,7 +16,11 @@
 import type { GatewayRequest, OwnAnswer } from "./gateway_request.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { GatewayState } from "./gateway_state.ts";
-import { type OutcomeDetails, recordOutcome } from "./record_outcome.ts";
+import {
+  type OutcomeDetails,
+  recordOutcome,
+  roundLoad,
+} from "./record_outcome.ts";
 import { RequestPlacer } from "./request_placer.ts";
 import { RoundTrips } from "./round_trips.ts";
 import { type AttemptEnd, sendAttempt } from "./send_attempt.ts";
@@ -138,14 +142,17 @@
   }
 
   #start(request: GatewayRequest, nowMillis: number): void {
-    const { line } = this.#placer.lane(request.service);
+    const { line, share } = this.#placer.lane(request.service);
     const placement = this.#placer.place(request, nowMillis);
     const admission = this.#placer.admit(request, placement, nowMillis);
     if (admission.kind === "refuse") {
       return this.#refuse(request, {
         reason: placement.kind,
-        retryAfterMillis: admission.retryAfterMillis,
+        retryAfterMillis: Math.round(admission.retryAfterMillis),
         ahead: line.length,
+        load: share.load,
+        expectedMillis: Math.round(admission.expectedMillis),
+        boundMillis: Math.round(admission.boundMillis),
       });
     }
     if (placement.kind === "send" && line.length === 0) {
@@ -178,7 +185,7 @@
     placement: Placement & { kind: "send" },
     nowMillis: number,
   ): void {
-    const { dialect, state } = this.#options;
+    const { dialect, state, log } = this.#options;
     const { target } = placement;
     const { record } = target;
     const leftMillis = request.expiresAtMillis - nowMillis;
@@ -192,6 +199,20 @@
     request.maybeRun++;
     const connections = this.#connectionsTo(target);
     const connection = connections.acquire(nowMillis);
+    log.info("send", {
+      request: request.id,
+      target: record.id,
+      targetVersion: target.version,
+      inFlight,
+      slots: record.slots,
+      load: roundLoad(this.#placer.lane(request.service).share.load),
+      warm: placement.warm,
+      waitMillis: Math.round(placement.waitMillis),
+      expectedMillis: Math.round(placement.finishMillis),
+      leftMillis: Math.round(leftMillis),
+      revision: state.config?.revision,
+      sends: request.sends,
+    });
     const fresh = !connection.connected;
     let headAtMillis = 0;
     const settle = (reusable: boolean) => {
@@ -354,11 +375,7 @@
 
   #refuse(
     request: GatewayRequest,
-    options: {
-      reason: string;
-      retryAfterMillis: number;
-      ahead?: number;
-    },
+    options: OutcomeDetails & { reason: string; retryAfterMillis: number },
   ): void {
     this.#finish(request, "refused", options);
     request.sink.refuse({
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -25,7 +25,13 @@
 /** What becomes of the request. */
 export type Admission =
   | { kind: "accept" }
-  | { kind: "refuse"; retryAfterMillis: number };
+  | {
+    kind: "refuse";
+    retryAfterMillis: number;
+    /** When the answer was expected, and by when it would have been useful. */
+    expectedMillis: number;
+    boundMillis: number;
+  };
 
 /** How far the expected finish may exceed the objective: estimates are that rough. */
 const objectiveTolerance = 1.25;
@@ -63,6 +69,8 @@
   return {
     kind: "refuse",
     retryAfterMillis: Math.max(leastRetryAfterMillis, retryAfterMillis),
+    expectedMillis,
+    boundMillis,
   };
 }
 
--- a/standins/src/scripted_target.ts
+++ b/standins/src/scripted_target.ts
@@ -42,9 +42,12 @@
     `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
 }
 
-/** Starts a target; `script` may be replaced by assigning to `run.script`. */
+/**
+ * Starts a target; `script` may be replaced by assigning to `run.script`. With
+ * `early` the script runs as soon as the head is in, and the body is read on.
+ */
 export async function startScriptedTarget(
-  run: { script: Script },
+  run: { script: Script; early?: boolean },
 ): Promise<ScriptedTarget> {
   const seen: SeenRequest[] = [];
   const sockets = new Set<Socket>();
@@ -54,6 +57,11 @@
     const connection = ++connections;
     let text = "";
     let open = 0;
+    let answeredEarly = false;
+    const start = (request: SeenRequest) => {
+      open++;
+      Promise.resolve(run.script(request, socket)).then(() => open--);
+    };
     sockets.add(socket);
     socket.on("error", () => socket.destroy());
     socket.on("close", () => {
@@ -62,12 +70,19 @@
     });
     socket.on("data", (chunk) => {
       text += chunk.toString("latin1");
+      const head = run.early && !answeredEarly
+        ? parse(text, connection, { headOnly: true })
+        : undefined;
+      if (head !== undefined) {
+        answeredEarly = true;
+        start(head.request);
+      }
       const parsed = parse(text, connection);
       if (parsed === undefined) return;
       text = parsed.rest;
       seen.push(parsed.request);
-      open++;
-      Promise.resolve(run.script(parsed.request, socket)).then(() => open--);
+      if (run.early) answeredEarly = false;
+      else start(parsed.request);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -84,10 +99,11 @@
   };
 }
 
-/** Parses one request with a declared length or none. */
+/** Parses one request with a declared length or none; with `headOnly` its head. */
 function parse(
   text: string,
   connection: number,
+  options: { headOnly?: boolean } = {},
 ): { request: SeenRequest; rest: string } | undefined {
   const end = text.indexOf("\r\n\r\n");
   if (end < 0) return undefined;
@@ -101,7 +117,7 @@
   }
   const length = Number(headers["content-length"] ?? 0);
   const body = text.slice(end + 4, end + 4 + length);
-  if (body.length < length) return undefined;
+  if (body.length < length && !options.headOnly) return undefined;
   return {
     request: { method, path, headers, body, connection },
     rest: text.slice(end + 4 + length),
