--- a/packages/gateway/src/follow_table.ts
+++ b/packages/gateway/src/follow_table.ts
@@ -33,8 +33,8 @@
 /** First pause after a failed call; doubles up to the longest. */
 const firstRetryMillis = 100;
 const longestRetryMillis = 800;
-/** Least time between two watches: bounds calls while many rows change. */
-const paceMillis = 150;
+/** Least time between two watches: bounds calls while many rows change; a tenth of the shortest time in which a change must hold. */
+const paceMillis = 250;
 /** How often an entry that isn't on duty looks whether it is. */
 const offDutyPollMillis = 100;
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -149,9 +149,11 @@
       try {
         await store.register(self);
         log.info("registered", { incarnation: self.incarnation });
-        return stateTask.readMembers();
+        await stateTask.readMembers();
+        return peers.announce();
       } catch (error) {
         log.warn("register_failed", { error: (error as Error).message });
+        stateTask.readMembers();
         await pause(registerRetryMillis);
       }
     }
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -69,11 +69,9 @@
   start(): void {
     this.#operator.start();
     this.#targets.start();
-    this.readMembers();
-    this.#memberReader = setInterval(
-      () => this.readMembers(),
-      membersReadMillis,
-    );
+    this.#memberReader = setInterval(() => {
+      if (this.#isFollower()) this.readMembers();
+    }, membersReadMillis);
     this.#borrower = setInterval(
       () => this.#borrowAtStart(),
       borrowAtStartMillis,
@@ -144,15 +142,21 @@
     });
   }
 
-  /** Entries are named that aren't known: reads their table unless that was just done. */
+  /**
+   * A digest names entries that aren't known: a follower reads their table,
+   * unless that was just done. The others don't need it, since callers are sent
+   * to other data centres only where this one has too few entries, and then
+   * all of these follow the store.
+   */
   readMembersSoon(): void {
     const sinceMillis = performance.now() - this.#membersReadAtMillis;
-    if (sinceMillis > unknownMembersReadMillis) this.readMembers();
+    if (sinceMillis < unknownMembersReadMillis || !this.#isFollower()) return;
+    this.readMembers();
   }
 
   /**
-   * Reads the entries' table. An entry reads it once more after it registered:
-   * of two that start together, at least one then sees the other.
+   * Reads the entries' table. An entry reads it after it registered: of two
+   * that start together, at least one then sees the other.
    */
   async readMembers(): Promise<void> {
     const { store, state, log } = this.#options;
