Trust idle connections less at a target that forgot one

Cause: a target that drops idle connections without notice resets whatever is sent next on them. Each request after a pause paid for it, and one that must not repeat ended unknown. Change: after such a reset, idle connections of that target are trusted for half of the idle time that failed, for ten seconds.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -72,6 +72,12 @@
       | resets at the end of an answer without a length |
       | sends bytes that are no answer                  |
 
+  Scenario: A target that forgets idle connections costs one request, not each after a pause
+    Given a target "t1" whose idle connections last 60 ms
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x" 5 times with 150 ms between
+    Then at most 1 answer is not 200
+
   Scenario: An answer that ends with its connection is passed on whole
     Given a target "t1" that answers without a length
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -462,6 +462,40 @@
   },
 );
 
+Given(
+  "a target {string} whose idle connections last {int} ms",
+  async (id: string, idleMillis: number) => {
+    const lastUsed = new Map<number, number>();
+    await world.system.addTarget(id, (seen, socket) => {
+      const idleSince = lastUsed.get(seen.connection) ?? Infinity;
+      if (performance.now() - idleSince > idleMillis) {
+        socket.resetAndDestroy();
+        return;
+      }
+      answerSoundly(seen, socket);
+      lastUsed.set(seen.connection, performance.now());
+    });
+  },
+);
+
+When(
+  "a caller of {string} posts {string} {int} times with {int} ms between",
+  async (entry: string, path: string, times: number, millis: number) => {
+    for (let i = 0; i < times; i++) {
+      if (i > 0) await pause(millis);
+      world.replies.push(
+        await call(entry, path, { method: "POST", body: "x" }),
+      );
+    }
+  },
+);
+
+Then("at most {int} answer is not {int}", (most: number, status: number) => {
+  const others = world.replies.filter((reply) => reply.status !== status);
+  assert.ok(world.replies.length > most + 1);
+  assert.ok(others.length <= most, `${others.length}`);
+});
+
 When(
   "a caller of {string} posts a body of {int} bytes to {string} {int} times in turn",
   async (entry: string, bytes: number, path: string, times: number) => {
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -235,6 +235,9 @@
         const endMillis = performance.now();
         const sound = end.kind === "answered" || end.kind === "not-run" ||
           end.kind === "streamed";
+        if (end.kind === "lost" && closedReasons.has(end.reason)) {
+          connections.noteForgotten(connection, endMillis);
+        }
         settle(sound && !end.leaving);
         this.#learner.learn(request, {
           target,
@@ -409,5 +412,12 @@
   }
 }
 
+/** How a connection that the target closed before an answer reports it. */
+const closedReasons: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "UND_ERR_SOCKET",
+]);
+
 /** Statuses that promise callers that the request did not run and never will. */
 const promisesNotRun: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -13,6 +13,13 @@
 const idleMillis = 4000;
 /** Margin before the target's own idle timeout, against a request that crosses its close. */
 const idleMarginMillis = 2000;
+/**
+ * Part of the idle time after which a kept connection proved dead that later
+ * ones may be idle: the target may forget the next one sooner.
+ */
+const distrustedShareOfIdle = 0.5;
+/** How long a target that forgot an idle connection is distrusted: a few of its idle times. */
+const distrustMillis = 10_000;
 /** Time to find out whether a target's port is closed. */
 const goneCheckMillis = 300;
 
@@ -52,6 +59,8 @@
   /** True once the connection was established. */
   connected = false;
   lastUsedAtMillis = 0;
+  /** How long it was idle before the request that it carries; 0 for its first. */
+  idleBeforeMillis = 0;
   readonly #end = new EndProbe();
 
   constructor(
@@ -104,6 +113,9 @@
   readonly #gone = new WeakSet<TargetConnection>();
   readonly #onConnected: (tookMillis: number) => void;
   #open = 0;
+  /** Longest idle time that is trusted, until `#distrustUntilMillis`. */
+  #trustedIdleMillis = Infinity;
+  #distrustUntilMillis = -Infinity;
 
   constructor(
     address: string,
@@ -119,7 +131,7 @@
 
   /** An idle connection, or a new one that connects with its first request. */
   acquire(nowMillis: number): TargetConnection {
-    const idle = this.#idle.pop();
+    const idle = this.#takeIdle(nowMillis);
     if (idle) return idle;
     this.#open++;
     const connection: TargetConnection = new TargetConnection(this.#address, {
@@ -129,6 +141,18 @@
     return connection;
   }
 
+  /** A kept connection proved dead when it was used again: others may be, too. */
+  noteForgotten(connection: TargetConnection, nowMillis: number): void {
+    if (connection.idleBeforeMillis === 0) return;
+    this.#trustedIdleMillis = Math.min(
+      nowMillis < this.#distrustUntilMillis
+        ? this.#trustedIdleMillis
+        : Infinity,
+      connection.idleBeforeMillis * distrustedShareOfIdle,
+    );
+    this.#distrustUntilMillis = nowMillis + distrustMillis;
+  }
+
   release(connection: TargetConnection, nowMillis: number): void {
     connection.lastUsedAtMillis = nowMillis;
     if (connection.connected && !connection.client.destroyed) {
@@ -153,6 +177,24 @@
     for (const connection of [...this.#idle]) this.discard(connection);
   }
 
+  /** The most recently used idle connection that is still trusted. */
+  #takeIdle(nowMillis: number): TargetConnection | undefined {
+    const connection = this.#idle[this.#idle.length - 1];
+    if (connection === undefined) return undefined;
+    const idleMillis = nowMillis - connection.lastUsedAtMillis;
+    if (
+      nowMillis < this.#distrustUntilMillis &&
+      idleMillis > this.#trustedIdleMillis
+    ) {
+      // The others were idle even longer.
+      this.closeIdle();
+      return undefined;
+    }
+    this.#idle.pop();
+    connection.idleBeforeMillis = idleMillis;
+    return connection;
+  }
+
   #forget(connection: TargetConnection): void {
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
