--- a/packages/gateway/src/request_placer.ts
+++ b/packages/gateway/src/request_placer.ts
@@ -29,8 +29,25 @@
   state: GatewayState;
   roundTrips: RoundTrips;
   random: () => number;
+  /** Replaced by replays that compare ways to decide. */
+  decisions?: Partial<Decisions>;
 }
 
+/** The decisions that a placer takes. */
+export interface Decisions {
+  place: typeof placeRequest;
+  admit: typeof admitRequest;
+  findHomes: typeof findHomes;
+  createLine: () => WaitLine<GatewayRequest>;
+}
+
+const standardDecisions: Decisions = {
+  place: placeRequest,
+  admit: admitRequest,
+  findHomes,
+  createLine: () => new WaitLine(),
+};
+
 /** Requests of one service that wait, and what is measured of the service. */
 export interface Lane {
   line: WaitLine<GatewayRequest>;
@@ -48,10 +65,12 @@
 /** Places and admits the requests of one entry. */
 export class RequestPlacer {
   readonly #options: PlacerOptions;
+  readonly #decisions: Decisions;
   readonly #lanes = new Map<string, Lane>();
 
   constructor(options: PlacerOptions) {
     this.#options = options;
+    this.#decisions = { ...standardDecisions, ...options.decisions };
   }
 
   /** All lanes, by service. */
@@ -76,7 +95,7 @@
       if (target.isLeaving() || !isAllowed(target)) return 0;
       return target.record.slots * (this.#isNear(target) ? 1 : farWeight);
     };
-    return placeRequest(targets, {
+    return this.#decisions.place(targets, {
       object: request.object,
       nowMillis,
       estimate: this.estimate(request),
@@ -85,7 +104,7 @@
       roundTripMillis: (target) => this.#options.roundTrips.read(target),
       homes: request.object === undefined
         ? noHomes
-        : findHomes(request.object, targets, weightOf),
+        : this.#decisions.findHomes(request.object, targets, weightOf),
       isAllowed,
       coldPerSecond: (target) => state.coldPerSecond(target),
       exclude: request.tried,
@@ -176,7 +195,7 @@
       ? 0
       : expectedWaitMillis(line.length, flowPerSecond);
     const targetMillis = placement.kind === "send" ? placement.waitMillis : 0;
-    return admitRequest({
+    return this.#decisions.admit({
       waitMillis: lineMillis + targetMillis,
       serviceMillis: placement.kind === "none"
         ? placement.usableAtMillis - nowMillis + work
@@ -200,7 +219,7 @@
     let lane = this.#lanes.get(service);
     if (lane === undefined) {
       lane = {
-        line: new WaitLine(),
+        line: this.#decisions.createLine(),
         flow: new WindowCounter(flowWindowMillis),
         share: new RegionShare(),
       };
--- a/packages/steering/src/wait_line.ts
+++ b/packages/steering/src/wait_line.ts
@@ -25,6 +25,11 @@
     this.#items.push(item);
   }
 
+  /** The request that came first. */
+  oldest(): T | undefined {
+    return this.#items[0];
+  }
+
   remove(item: T): boolean {
     const index = this.#items.indexOf(item);
     if (index < 0) return false;
--- /dev/null
+++ b/tools/src/bench/replay_bench.ts
@@ -0,0 +1,66 @@
+/**
+ * Replays heavy load patterns through the gateway's decisions, the product's
+ * and those weighed against it, on a fake clock.
+ */
+import { loadPatterns } from "../replay/load_pattern.ts";
+import { playPattern, type ReplayResult } from "../replay/play_pattern.ts";
+import { replayArms } from "../replay/replay_arm.ts";
+import {
+  atMost,
+  type BenchArm,
+  type BenchOptions,
+  type BenchReport,
+  quantile,
+  round,
+} from "./bench_report.ts";
+
+/** The users' cap on shifts between two windows of 2 s. */
+const shiftLimit = 0.15;
+
+function toArm(name: string, result: ReplayResult): BenchArm {
+  const sum = (read: (region: ReplayResult["regions"][number]) => number) =>
+    result.regions.reduce((total, region) => total + read(region), 0);
+  const asked = sum((region) => region.asked);
+  const latencies = result.regions.flatMap((r) => r.latenciesMillis);
+  const worst = Math.min(...result.regions.map((r) => r.inTime / r.asked));
+  return {
+    name,
+    asked,
+    inTime: round(sum((r) => r.inTime) / asked),
+    worstRegion: round(worst),
+    late: round(sum((r) => r.late) / asked),
+    refused: round(sum((r) => r.refused) / asked),
+    refusedAgain: round(sum((r) => r.refusedAgain) / asked),
+    failed: round(sum((r) => r.failed) / asked),
+    p50Millis: Math.round(quantile(latencies, 0.5)),
+    p99Millis: Math.round(quantile(latencies, 0.99)),
+    warm: round(result.warmShare),
+    shift: round(result.largestShift),
+  };
+}
+
+/** Runs every arm on every pattern. */
+export function replayBench(options: BenchOptions): Promise<BenchReport> {
+  const arms: BenchArm[] = [];
+  const shifts: number[] = [];
+  for (const full of loadPatterns) {
+    const pattern = {
+      ...full,
+      lengthMillis: full.lengthMillis * options.scale,
+    };
+    for (const arm of replayArms) {
+      const result = playPattern(pattern, { arm, seed: options.seed });
+      arms.push(toArm(`${pattern.name}: ${arm.name}`, result));
+      const calm = pattern.events.length === 0;
+      if (calm && arm.name === "product") shifts.push(result.largestShift);
+    }
+  }
+  return Promise.resolve({
+    bench: "replay",
+    seed: options.seed,
+    arms,
+    bounds: [
+      atMost("shift of undisturbed regions", Math.max(...shifts), shiftLimit),
+    ],
+  });
+}
--- a/tools/src/bench/run_bench.ts
+++ b/tools/src/bench/run_bench.ts
@@ -12,6 +12,7 @@
 import { moveBench } from "./move_bench.ts";
 import { overloadBench } from "./overload_bench.ts";
 import { membersBench } from "./members_bench.ts";
+import { replayBench } from "./replay_bench.ts";
 import { slotsBench } from "./slots_bench.ts";
 import { holBench } from "./hol_bench.ts";
 import { lookupBench } from "./lookup_bench.ts";
@@ -26,6 +27,7 @@
   members: membersBench,
   move: moveBench,
   overload: overloadBench,
+  replay: replayBench,
   slots: slotsBench,
   lookup: lookupBench,
   tail: tailBench,
--- /dev/null
+++ b/tools/src/replay/play_pattern.ts
@@ -0,0 +1,444 @@
+/**
+ * Plays one load pattern through the gateway's decisions on a fake clock, and
+ * counts what callers got.
+ */
+import type { GatewayRequest } from "@bamboolane/gateway/gateway_request";
+import {
+  type EntryRecord,
+  Repeat,
+  type StateRow,
+  type SteeringRoute,
+} from "@bamboolane/steering/steering_config";
+import { seededRandom } from "@bamboolane/test-utils/seeded_random";
+import { EventQueue } from "./event_queue.ts";
+import type { LoadPattern, PatternEvent } from "./load_pattern.ts";
+import type { ReplayArm } from "./replay_arm.ts";
+import { type RequestEnd, SimulatedEntry } from "./simulated_entry.ts";
+import { SimulatedTarget } from "./simulated_target.ts";
+
+/** What the callers of one region got. */
+export interface RegionResult {
+  region: string;
+  asked: number;
+  /** Within the objective, counted from the caller's first attempt. */
+  inTime: number;
+  late: number;
+  refused: number;
+  /** Of the refused, those that had come back before. */
+  refusedAgain: number;
+  failed: number;
+  /** Time from the first attempt to the answer, of those served. */
+  latenciesMillis: number[];
+}
+
+/** What one replay gave. */
+export interface ReplayResult {
+  regions: RegionResult[];
+  /** Part of the runs that found their object known. */
+  warmShare: number;
+  /** Slot time spent on requests whose caller had given up, in parts of all. */
+  wastedShare: number;
+  /** Largest change between two windows of 2 s of the part of a region's runs that leave it. */
+  largestShift: number;
+}
+
+/** How often entries hear of each other. */
+const heartbeatMillis = 150;
+const windowMillis = 2000;
+const callerWayMillis = 1;
+const service = "s";
+
+/** Plays `pattern` with `arm`; the same seed gives the same result. */
+export function playPattern(
+  pattern: LoadPattern,
+  options: { arm: ReplayArm; seed: number },
+): ReplayResult {
+  return new Replay(pattern, options).play();
+}
+
+class Replay {
+  readonly #pattern: LoadPattern;
+  readonly #clock = new EventQueue();
+  readonly #random: () => number;
+  readonly #targets = new Map<string, SimulatedTarget>();
+  readonly #entries: SimulatedEntry[] = [];
+  readonly #results = new Map<string, RegionResult>();
+  readonly #route: SteeringRoute;
+  /** Runs and runs elsewhere, by region and window. */
+  readonly #windows = new Map<string, { all: number; away: number }[]>();
+  #slotMillis = 0;
+  #wastedMillis = 0;
+
+  constructor(
+    pattern: LoadPattern,
+    options: { arm: ReplayArm; seed: number },
+  ) {
+    this.#pattern = pattern;
+    this.#random = seededRandom(options.seed);
+    this.#route = routeOf(pattern);
+    const dataCentres: Record<string, string> = {};
+    for (const { name, targets } of pattern.regions) {
+      dataCentres[name] = name;
+      this.#windows.set(name, []);
+      this.#results.set(name, emptyResult(name));
+      for (let i = 0; i < targets; i++) this.#addTarget(`${name}-${i}`, name);
+    }
+    const rows = rowsOf(pattern, this.#route, [...this.#targets.values()]);
+    for (const { name, entries } of pattern.regions) {
+      for (let i = 0; i < entries; i++) {
+        this.#entries.push(
+          new SimulatedEntry(entryRecord(`${name}-e${i}`, name), {
+            clock: this.#clock,
+            arm: options.arm,
+            random: this.#random,
+            targets: this.#targets,
+            rows,
+            betweenRegionsMillis: pattern.betweenRegionsMillis,
+            dataCentres,
+          }),
+        );
+      }
+    }
+  }
+
+  play(): ReplayResult {
+    const { lengthMillis, deadlineMillis, events, regions } = this.#pattern;
+    this.#restartAll();
+    for (const event of events) this.#schedule(event);
+    this.#clock.after(0, () => this.#beat());
+    for (const region of regions) this.#arrive(region.name);
+    this.#clock.runUntil(lengthMillis + 2 * deadlineMillis);
+    const targets = [...this.#targets.values()];
+    const runs = targets.reduce((sum, target) => sum + target.runs, 0);
+    const warm = targets.reduce((sum, target) => sum + target.warmRuns, 0);
+    return {
+      regions: [...this.#results.values()],
+      warmShare: warm / Math.max(1, runs),
+      wastedShare: this.#wastedMillis / Math.max(1, this.#slotMillis),
+      largestShift: this.#largestShift(),
+    };
+  }
+
+  #addTarget(id: string, region: string): void {
+    this.#targets.set(
+      id,
+      new SimulatedTarget(id, {
+        region,
+        clock: this.#clock,
+        pattern: this.#pattern,
+        random: this.#random,
+      }),
+    );
+  }
+
+  #restartAll(): void {
+    const records = this.#entries.map(({ record }) => record);
+    for (const entry of this.#entries) entry.restart(records);
+  }
+
+  #schedule(event: PatternEvent): void {
+    const { nowMillis } = this.#clock;
+    switch (event.kind) {
+      case "restart":
+        this.#clock.after(event.atMillis - nowMillis, () => this.#restartAll());
+        return;
+      case "slow":
+        for (const target of this.#firstTargets(event.share)) {
+          this.#clock.after(
+            event.fromMillis,
+            () => target.factor = event.factor,
+          );
+          this.#clock.after(event.toMillis, () => target.factor = 1);
+        }
+        return;
+      case "lost":
+        for (const target of this.#targets.values()) {
+          if (target.region !== event.region) continue;
+          this.#clock.after(event.fromMillis, () => target.lost = true);
+          this.#clock.after(event.toMillis, () => {
+            target.lost = false;
+            target.forget();
+          });
+        }
+        return;
+      case "burst":
+      case "shift":
+      case "abuse":
+        // Looked up when requests arrive.
+        return;
+    }
+  }
+
+  /** The same share of each region's targets. */
+  #firstTargets(share: number): SimulatedTarget[] {
+    return this.#pattern.regions.flatMap(({ name }) => {
+      const own = [...this.#targets.values()].filter((t) => t.region === name);
+      return own.slice(0, Math.round(own.length * share));
+    });
+  }
+
+  #beat(): void {
+    const { nowMillis } = this.#clock;
+    for (const teller of this.#entries) {
+      const inFlight = teller.inFlight();
+      const shares = new Map(Object.entries(teller.placer.shares()));
+      for (const hearer of this.#entries) {
+        if (hearer === teller) continue;
+        const told = { serving: true, reachesStore: true, inFlight };
+        hearer.state.members.hear(teller.record, told, nowMillis);
+        if (hearer.record.region === teller.record.region) {
+          const untilMillis = nowMillis + 10 * heartbeatMillis;
+          hearer.state.shares.note(teller.record.id, shares, untilMillis);
+        }
+      }
+    }
+    if (nowMillis > this.#pattern.lengthMillis) return;
+    this.#clock.after(heartbeatMillis, () => this.#beat());
+  }
+
+  /** One request now, and the next one after a random gap. */
+  #arrive(region: string): void {
+    const { nowMillis } = this.#clock;
+    if (nowMillis > this.#pattern.lengthMillis) return;
+    const perSecond = this.#rateOf(region, nowMillis);
+    const gapMillis = -Math.log(1 - this.#random()) * 1000 / perSecond;
+    this.#clock.after(gapMillis, () => {
+      this.#call(region);
+      this.#arrive(region);
+    });
+  }
+
+  #rateOf(region: string, nowMillis: number): number {
+    const { regions, events } = this.#pattern;
+    const base = (name: string) =>
+      regions.find((one) => one.name === name)?.requestsPerSecond ?? 0;
+    let rate = base(region);
+    for (const event of events) {
+      if (!("fromMillis" in event)) continue;
+      if (nowMillis < event.fromMillis || nowMillis >= event.toMillis) continue;
+      if (event.kind === "burst") rate *= event.factor;
+      if (event.kind !== "shift") continue;
+      if (event.from === region) rate -= base(region) * event.share;
+      if (event.to === region) rate += base(event.from) * event.share;
+    }
+    return Math.max(0.001, rate);
+  }
+
+  #call(region: string): void {
+    const { deadlineMillis, returns, objects, events } = this.#pattern;
+    const { nowMillis } = this.#clock;
+    const abusive =
+      events.some((event) =>
+        event.kind === "abuse" && nowMillis >= event.fromMillis &&
+        nowMillis < event.toMillis
+      ) && this.#random() < 0.3;
+    (this.#results.get(region) as RegionResult).asked++;
+    this.#attempt(region, {
+      // Few objects are asked for much more often than others.
+      object: `o${Math.floor(this.#random() ** 1.2 * objects)}`,
+      startMillis: nowMillis,
+      untilMillis: nowMillis + deadlineMillis,
+      returnsLeft: abusive ? 4 * returns : returns,
+      abusive,
+      returned: false,
+    });
+  }
+
+  #attempt(region: string, call: Call): void {
+    const own = this.#entries.filter(({ record }) => record.region === region);
+    const entry = own[Math.floor(this.#random() * own.length)];
+    this.#clock.after(callerWayMillis, () => {
+      const request = this.#request(call);
+      entry.run(request, (end) =>
+        this.#clock.after(
+          callerWayMillis,
+          () => this.#settle(region, call, { end, request }),
+        ));
+    });
+  }
+
+  #request(call: Call): GatewayRequest {
+    const { nowMillis } = this.#clock;
+    return {
+      id: "",
+      route: this.#route,
+      service,
+      object: call.object,
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      arrivedAtMillis: nowMillis,
+      objectiveAtMillis: nowMillis + this.#pattern.objectiveMillis,
+      priority: 1,
+      expiresAtMillis: call.untilMillis,
+      fingerprint: "",
+      sink: {} as GatewayRequest["sink"],
+      tried: new Set(),
+      maybeRun: 0,
+      sends: 0,
+      done: false,
+      abort: undefined,
+      timer: undefined,
+    };
+  }
+
+  #settle(
+    region: string,
+    call: Call,
+    { end, request }: { end: RequestEnd; request: GatewayRequest },
+  ): void {
+    const result = this.#results.get(region) as RegionResult;
+    const { nowMillis } = this.#clock;
+    const tookMillis = nowMillis - call.startMillis;
+    this.#countRun(region, request);
+    switch (end.kind) {
+      case "served":
+        if (nowMillis > call.untilMillis) return void result.failed++;
+        result.latenciesMillis.push(tookMillis);
+        if (tookMillis <= this.#pattern.objectiveMillis) result.inTime++;
+        else result.late++;
+        return;
+      case "failed":
+        result.failed++;
+        return;
+      case "refused": {
+        const leftMillis = call.untilMillis - nowMillis;
+        const pauseMillis = call.abusive
+          ? 0
+          : Math.min(end.retryAfterMillis, leftMillis / 3);
+        if (call.returnsLeft === 0 || leftMillis <= 0) {
+          result.refused++;
+          if (call.returned) result.refusedAgain++;
+          return;
+        }
+        const again = {
+          ...call,
+          returnsLeft: call.returnsLeft - 1,
+          returned: true,
+        };
+        this.#clock.after(pauseMillis, () => this.#attempt(region, again));
+      }
+    }
+  }
+
+  #countRun(region: string, request: GatewayRequest): void {
+    const [target] = request.tried;
+    if (target === undefined) return;
+    const windows = this.#windows.get(region) as {
+      all: number;
+      away: number;
+    }[];
+    const index = Math.floor(this.#clock.nowMillis / windowMillis);
+    const window = windows[index] ??= { all: 0, away: 0 };
+    window.all++;
+    if (this.#targets.get(target)?.region !== region) window.away++;
+  }
+
+  #largestShift(): number {
+    let largest = 0;
+    const last = Math.floor(this.#pattern.lengthMillis / windowMillis);
+    for (const windows of this.#windows.values()) {
+      for (let i = 1; i < last; i++) {
+        const [a, b] = [windows[i - 1], windows[i]];
+        if (a === undefined || b === undefined) continue;
+        largest = Math.max(largest, Math.abs(a.away / a.all - b.away / b.all));
+      }
+    }
+    return largest;
+  }
+}
+
+interface Call {
+  object: string;
+  startMillis: number;
+  untilMillis: number;
+  returnsLeft: number;
+  abusive: boolean;
+  returned: boolean;
+}
+
+function emptyResult(region: string): RegionResult {
+  return {
+    region,
+    asked: 0,
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    refusedAgain: 0,
+    failed: 0,
+    latenciesMillis: [],
+  };
+}
+
+function routeOf(pattern: LoadPattern): SteeringRoute {
+  return {
+    name: "r",
+    host: "replay.example",
+    prefix: "/",
+    repeat: Repeat.idempotent,
+    timeoutMillis: pattern.deadlineMillis,
+    objectiveMillis: pattern.objectiveMillis,
+    attempts: 1,
+    priority: 1,
+    affinity: true,
+    allowedRegions: [],
+    parts: [{ service, weight: 1 }],
+  };
+}
+
+function rowsOf(
+  pattern: LoadPattern,
+  route: SteeringRoute,
+  targets: readonly SimulatedTarget[],
+): StateRow[] {
+  const config: StateRow = {
+    kind: "config",
+    version: 1,
+    config: {
+      revision: 1,
+      routes: [route],
+      services: [{
+        name: service,
+        healthPath: "",
+        maxConnections: 100,
+        warmupMillis: 0,
+        warmupPerSecond: 5,
+      }],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMillis: 1,
+        idleTimeoutMillis: 1,
+      },
+    },
+  };
+  const records = targets.map((target, i): StateRow => ({
+    kind: "target",
+    version: 2 + i,
+    id: target.id,
+    record: {
+      id: target.id,
+      service,
+      address: `${target.id}:1`,
+      dataCentre: target.region,
+      slots: pattern.slots,
+      draining: false,
+      warmupLeftMillis: 0,
+      bornMillis: 1,
+    },
+  }));
+  return [config, ...records];
+}
+
+function entryRecord(id: string, region: string): EntryRecord {
+  return {
+    id,
+    incarnation: 1,
+    dataCentre: region,
+    region,
+    callerAddress: "",
+    peerAddress: "",
+    stateAddress: "",
+  };
+}
