--- /dev/null
+++ b/packages/gateway/features/replay_steps.ts
@@ -0,0 +1,94 @@
+/**
+ * Steps that replay load patterns on a fake clock.
+ */
+import assert from "node:assert/strict";
+import { Before, Then, When } from "@cucumber/cucumber";
+import { loadPatterns } from "@bamboolane/tools/replay/load_pattern";
+import {
+  largestShift,
+  playPattern,
+  type ReplayResult,
+} from "@bamboolane/tools/replay/play_pattern";
+import { replayArms } from "@bamboolane/tools/replay/replay_arm";
+
+const results = new Map<string, ReplayResult[]>();
+
+Before(() => results.clear());
+
+function play(pattern: string, arm: string, seed: number): ReplayResult {
+  const load = loadPatterns.find(({ name }) => name === pattern);
+  const way = replayArms.find(({ name }) => name === arm);
+  assert.ok(load !== undefined && way !== undefined, `${pattern}, ${arm}`);
+  return playPattern(load, { arm: way, seed });
+}
+
+function playSeeds(pattern: string, arm: string, seeds: number): void {
+  results.set(
+    arm,
+    Array.from({ length: seeds }, (_, i) => play(pattern, arm, i + 1)),
+  );
+}
+
+Then(
+  "pattern {string} played twice with seed {int} gives the same figures",
+  (pattern: string, seed: number) => {
+    const [a, b] = [1, 2].map(() => play(pattern, "product", seed));
+    assert.deepEqual(a, b);
+    assert.notDeepEqual(a.regions, play(pattern, "product", seed + 1).regions);
+  },
+);
+
+When(
+  "pattern {string} is played by {string} and by {string} with {int} seeds",
+  (pattern: string, first: string, second: string, seeds: number) => {
+    for (const arm of [first, second]) playSeeds(pattern, arm, seeds);
+  },
+);
+
+When(
+  "pattern {string} is played by {string} with {int} seeds",
+  (pattern: string, arm: string, seeds: number) =>
+    playSeeds(pattern, arm, seeds),
+);
+
+/** Parts served in time, one for each region. */
+function inTime(arm: string): number[] {
+  const played = results.get(arm) as ReplayResult[];
+  return played[0].regions.map((_, i) => {
+    const sum = (read: (result: ReplayResult) => number) =>
+      played.reduce((total, result) => total + read(result), 0);
+    return sum((r) => r.regions[i].inTime) / sum((r) => r.regions[i].asked);
+  });
+}
+
+function other(arm: string): string {
+  return [...results.keys()].find((name) => name !== arm) as string;
+}
+
+const mean = (values: readonly number[]) =>
+  values.reduce((a, b) => a + b, 0) / values.length;
+
+Then(
+  "{string} serves at least {float} times as many in time",
+  (arm: string, factor: number) => {
+    const [a, b] = [mean(inTime(arm)), mean(inTime(other(arm)))];
+    assert.ok(a >= factor * b, `${a} against ${b}`);
+  },
+);
+
+Then(
+  "in the region served worst {string} serves at least {float} times as many in time",
+  (arm: string, factor: number) => {
+    const a = Math.min(...inTime(arm));
+    const b = Math.min(...inTime(other(arm)));
+    assert.ok(a >= factor * b, `${a} against ${b}`);
+  },
+);
+
+Then(
+  "no region changes more than {float} of its runs from one window to the next",
+  (most: number) => {
+    const shift = largestShift([...results.values()][0]);
+    assert.ok(shift <= most, `${shift}`);
+  },
+);
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -38,8 +38,37 @@
   warmShare: number;
   /** Slot time spent on requests whose caller had given up, in parts of all. */
   wastedShare: number;
-  /** Largest change between two windows of 2 s of the part of a region's runs that leave it. */
-  largestShift: number;
+  /** Runs of each region's requests, by window of 2 s. */
+  windows: ReadonlyMap<string, readonly WindowRuns[]>;
+}
+
+/** Runs in one window, and those of them in other regions. */
+export interface WindowRuns {
+  all: number;
+  away: number;
+}
+
+/**
+ * Largest change between two windows of the part of a region's runs that leave
+ * it. Several replays are added up, so that it shows what the decisions do and
+ * not which callers happened to call.
+ */
+export function largestShift(results: readonly ReplayResult[]): number {
+  let largest = 0;
+  for (const region of results[0].windows.keys()) {
+    const shares: number[] = [];
+    const columns = results.map(({ windows }) => windows.get(region) ?? []);
+    const length = Math.min(...columns.map((windows) => windows.length));
+    for (let i = 0; i < length; i++) {
+      const all = columns.reduce((sum, windows) => sum + windows[i].all, 0);
+      const away = columns.reduce((sum, windows) => sum + windows[i].away, 0);
+      shares.push(away / Math.max(1, all));
+    }
+    for (let i = 1; i < shares.length; i++) {
+      largest = Math.max(largest, Math.abs(shares[i] - shares[i - 1]));
+    }
+  }
+  return largest;
 }
 
 /** How often entries hear of each other. */
@@ -65,7 +94,7 @@
   readonly #results = new Map<string, RegionResult>();
   readonly #route: SteeringRoute;
   /** Runs and runs elsewhere, by region and window. */
-  readonly #windows = new Map<string, { all: number; away: number }[]>();
+  readonly #windows = new Map<string, WindowRuns[]>();
   #slotMillis = 0;
   #wastedMillis = 0;
 
@@ -79,7 +108,11 @@
     const dataCentres: Record<string, string> = {};
     for (const { name, targets } of pattern.regions) {
       dataCentres[name] = name;
-      this.#windows.set(name, []);
+      const count = Math.floor(pattern.lengthMillis / windowMillis);
+      this.#windows.set(
+        name,
+        Array.from({ length: count }, () => ({ all: 0, away: 0 })),
+      );
       this.#results.set(name, emptyResult(name));
       for (let i = 0; i < targets; i++) this.#addTarget(`${name}-${i}`, name);
     }
@@ -115,7 +148,7 @@
       regions: [...this.#results.values()],
       warmShare: warm / Math.max(1, runs),
       wastedShare: this.#wastedMillis / Math.max(1, this.#slotMillis),
-      largestShift: this.#largestShift(),
+      windows: this.#windows,
     };
   }
 
@@ -325,28 +358,12 @@
   #countRun(region: string, request: GatewayRequest): void {
     const [target] = request.tried;
     if (target === undefined) return;
-    const windows = this.#windows.get(region) as {
-      all: number;
-      away: number;
-    }[];
     const index = Math.floor(this.#clock.nowMillis / windowMillis);
-    const window = windows[index] ??= { all: 0, away: 0 };
+    const window = this.#windows.get(region)?.[index];
+    if (window === undefined) return;
     window.all++;
     if (this.#targets.get(target)?.region !== region) window.away++;
   }
-
-  #largestShift(): number {
-    let largest = 0;
-    const last = Math.floor(this.#pattern.lengthMillis / windowMillis);
-    for (const windows of this.#windows.values()) {
-      for (let i = 1; i < last; i++) {
-        const [a, b] = [windows[i - 1], windows[i]];
-        if (a === undefined || b === undefined) continue;
-        largest = Math.max(largest, Math.abs(a.away / a.all - b.away / b.all));
-      }
-    }
-    return largest;
-  }
 }
 
 interface Call {
