--- a/tools/src/replay/load_pattern.ts
+++ b/tools/src/replay/load_pattern.ts
@@ -48,7 +48,10 @@
   slots: number;
   /** Requests that a target queues beyond its slots. */
   queue: number;
+  /** Objects of one region's callers. */
   objects: number;
+  /** Part of the calls that ask for an object of the caller's own region. */
+  atHomeShare: number;
   /** Objects that a target works faster for. */
   objectsKept: number;
   workMillis: number;
@@ -76,8 +79,9 @@
   ],
   slots: 3,
   queue: 9,
-  objects: 72,
-  objectsKept: 14,
+  objects: 98,
+  atHomeShare: 0.83,
+  objectsKept: 30,
   workMillis: 200,
   warmShare: 0.3,
   spread: 0.15,
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -258,7 +258,7 @@
   }
 
   #call(region: string): void {
-    const { deadlineMillis, returns, objects, events } = this.#pattern;
+    const { deadlineMillis, returns, events } = this.#pattern;
     const { nowMillis } = this.#clock;
     const abusive =
       events.some((event) =>
@@ -267,8 +267,7 @@
       ) && this.#random() < 0.3;
     (this.#results.get(region) as RegionResult).asked++;
     this.#attempt(region, {
-      // Few objects are asked for much more often than others.
-      object: `o${Math.floor(this.#random() ** 1.2 * objects)}`,
+      object: this.#objectFor(region),
       startMillis: nowMillis,
       untilMillis: nowMillis + deadlineMillis,
       returnsLeft: abusive ? 4 * returns : returns,
@@ -277,6 +276,15 @@
     });
   }
 
+  /** Few objects are asked for much more often than others. */
+  #objectFor(region: string): string {
+    const { regions, objects, atHomeShare } = this.#pattern;
+    const isOwn = this.#random() < atHomeShare;
+    const any = regions[Math.floor(this.#random() * regions.length)].name;
+    const index = Math.floor(this.#random() ** 1.2 * objects);
+    return `${isOwn ? region : any}-${index}`;
+  }
+
   #attempt(region: string, call: Call): void {
     const own = this.#entries.filter(({ record }) => record.region === region);
     const entry = own[Math.floor(this.#random() * own.length)];
