Don't send on what a caller left while the process stood still

One was sent at 26.233 s, its caller left at 26.262, the entry read it at 26.903: it had restarted and stood still meanwhile, and then read request and close in this order. Loading the metrics library three seconds after the start is one such stall. Test: five callers that leave while the process stands still for 400 ms reached the target five times before, not at all after. Also: entries that the store no longer lists and that are silent are forgotten (they made shares of budgets smaller for good), and a share of homes elsewhere that isn't known yet no longer begins as none.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -103,6 +103,12 @@
     When a caller of "e1" leaves after 100 ms
     Then the targets' connections were dropped
 
+  Scenario: A caller that left while the entry stood still costs no target anything
+    Given a target "t1" that answers
+    And an entry "e1"
+    When 5 callers of "e1" send a request and leave while the process stands still for 400 ms
+    Then "t1" saw 0 requests
+
   Scenario: Pipelined requests are answered in order
     Given a target "t1" that answers slowly at first
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -4,6 +4,7 @@
 import assert from "node:assert/strict";
 import process from "node:process";
 import { connect, type Socket } from "node:net";
+import { Worker } from "node:worker_threads";
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
 import {
@@ -325,6 +326,40 @@
   },
 );
 
+/** A thread that calls and leaves while the process's main thread is busy. */
+const leavingCallers = `
+  const { connect } = require("node:net");
+  const { parentPort, workerData } = require("node:worker_threads");
+  const [host, port] = workerData.address.split(":");
+  parentPort.once("message", () => {
+    for (let i = 0; i < workerData.count; i++) {
+      const socket = connect({ host, port: Number(port) });
+      socket.write("GET /read/x HTTP/1.1\\r\\nHost: test.example\\r\\n" +
+        "Test-Request: left" + i + "\\r\\nTest-Deadline: 1000\\r\\n\\r\\n");
+      setTimeout(() => socket.end(), 100);
+    }
+  });
+`;
+
+When(
+  "{int} callers of {string} send a request and leave while the process stands still for {int} ms",
+  async (count: number, entry: string, millis: number) => {
+    const address = world.system.settings(entry).listen.callers;
+    const worker = new Worker(leavingCallers, {
+      eval: true,
+      workerData: { address, count },
+    });
+    await new Promise((resolve) => worker.once("online", resolve));
+    worker.postMessage("go");
+    const endMillis = performance.now() + millis;
+    while (performance.now() < endMillis) {
+      // Stands still.
+    }
+    await pause(500);
+    await worker.terminate();
+  },
+);
+
 When(
   "a caller of {string} pipelines {int} requests",
   async (entry: string, count: number) => {
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -24,6 +24,7 @@
   readHead,
 } from "./read_request.ts";
 import type { RequestRunner } from "./request_runner.ts";
+import { catchUp, StallWatch } from "./stall_watch.ts";
 
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
@@ -53,6 +54,7 @@
   readonly #server: Server;
   /** Requests without a complete answer, by connection. */
   readonly #pending = new Map<Socket, Set<ServerResponse>>();
+  readonly #stalls = new StallWatch();
   #stopping = false;
 
   constructor(options: GatewayServerOptions) {
@@ -111,6 +113,7 @@
   }
 
   close(): void {
+    this.#stalls.stop();
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -177,7 +180,10 @@
         reason: "body too large",
       });
     }
-    if (read.kind === "broken" || response.destroyed) return;
+    if (this.#stalls.stalledLately()) await catchUp();
+    if (read.kind === "broken" || hasLeft(request, response)) {
+      return log.info("request", { request: head.id, outcome: "left-unread" });
+    }
     const service = state.pickService(route);
     if (service === undefined) {
       return this.#reject(request, response, {
@@ -264,6 +270,12 @@
   }
 }
 
+/** True where the caller closed its connection. */
+function hasLeft(request: IncomingMessage, response: ServerResponse): boolean {
+  return response.destroyed || request.socket.destroyed ||
+    request.socket.readableEnded;
+}
+
 /** Answers that end their connection. */
 const stopMarks = new WeakSet<ServerResponse>();
 
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -95,7 +95,7 @@
   ): void {
     this.apply(rows, options.nowMillis);
     if (table === StateTable.targets) this.#retainTargets(rows, options);
-    if (table === StateTable.entries) this.members.isComplete = true;
+    if (table === StateTable.entries) this.#retainMembers(rows, options);
     if (table === StateTable.operator) this.#retainEvacuations(rows, options);
   }
 
@@ -279,6 +279,19 @@
     }
   }
 
+  #retainMembers(
+    rows: readonly StateRow[],
+    options: { nowMillis: number },
+  ): void {
+    const listed = new Set<string>();
+    for (const row of rows) {
+      if (row.kind !== "entry" || row.record === undefined) continue;
+      listed.add(row.id);
+    }
+    this.members.retain(listed, options.nowMillis);
+    this.members.isComplete = true;
+  }
+
   #retainEvacuations(
     rows: readonly StateRow[],
     options: { version: number; nowMillis: number },
--- a/packages/gateway/src/request_placer.ts
+++ b/packages/gateway/src/request_placer.ts
@@ -140,9 +140,9 @@
     return share.farWeight(near, far);
   }
 
-  #priorShare(near: number, all: number): number {
+  #priorShare(near: number, all: number): number | undefined {
     const { members } = this.#options.state;
-    if (!members.isComplete) return 0;
+    if (!members.isComplete) return undefined;
     const { region } = this.#options.settings.instance;
     const entries = {
       near: members.idsInRegion(region).length + 1,
--- /dev/null
+++ b/packages/gateway/src/stall_watch.ts
@@ -0,0 +1,49 @@
+/**
+ * Tells whether the process stood still a moment ago: while it loads code, is
+ * short of processor time or was paused. What it then reads may be long over.
+ */
+
+/** How often the watch looks. */
+const tickMillis = 25;
+/** A gap between two looks that is no ordinary delay: four ticks. */
+const stallMillis = 100;
+/** How long after a stall its backlog may still be read. */
+const backlogMillis = 1000;
+
+/** Watches the event loop. */
+export class StallWatch {
+  readonly #timer: NodeJS.Timeout;
+  #lookedAtMillis = performance.now();
+  #stalledAtMillis = -Infinity;
+
+  constructor() {
+    this.#timer = setInterval(() => this.#look(), tickMillis);
+    this.#timer.unref();
+  }
+
+  /** True during the first moments after a stall. */
+  stalledLately(): boolean {
+    this.#look();
+    return performance.now() - this.#stalledAtMillis < backlogMillis;
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #look(): void {
+    const nowMillis = performance.now();
+    if (nowMillis - this.#lookedAtMillis > stallMillis) {
+      this.#stalledAtMillis = nowMillis;
+    }
+    this.#lookedAtMillis = nowMillis;
+  }
+}
+
+/** Lets the event loop read what arrived meanwhile, such as a caller's close. */
+export async function catchUp(): Promise<void> {
+  // The loop reads after a first turn, and its callbacks are done at the second.
+  for (let turn = 0; turn < 2; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -36,8 +36,10 @@
 const borrowAtStartMillis = 500;
 /** An entry that lost the store counts as able to follow it again after this time. */
 const lostMemoryMillis = 5000;
-/** How often the entries' table is read: heartbeats tell most of it sooner. */
+/** How often followers read the entries' table: heartbeats tell most of it sooner. */
 const membersReadMillis = 15_000;
+/** The other entries read it at every so many of these times, to forget those that left. */
+const idleMembersReads = 20;
 /** Least time between reads that are due to unknown entries: a new one registers within it. */
 const unknownMembersReadMillis = 2000;
 /** Pause between attempts to read the entries' table. */
@@ -69,8 +71,11 @@
   start(): void {
     this.#operator.start();
     this.#targets.start();
+    let turn = 0;
     this.#memberReader = setInterval(() => {
-      if (this.#isFollower()) this.readMembers();
+      turn++;
+      if (!this.#isFollower() && turn % idleMembersReads !== 0) return;
+      this.readMembers();
     }, membersReadMillis);
     this.#borrower = setInterval(
       () => this.#borrowAtStart(),
--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -64,6 +64,11 @@
     When another entry starts that would begin with 0.5
     Then its share is 0.3 and stays within 0.08 of theirs under the same load
 
+  Scenario: A share that isn't known yet doesn't begin as none
+    Given a region with a third of the entries and a sixth of the slots
+    When requests come before the list of entries is read
+    Then the share is 0 until then and 0.5 as soon as it is known
+
   Scenario: A free slot is for whoever comes while load is low
     Then a late request is accepted at load 0.2 and refused at load 0.9
 
@@ -93,6 +98,11 @@
     And after a digest without "d" only "c" is named
     And after 2.6 s of silence none is named and 0 requests are at the target
 
+  Scenario: An entry that left is forgotten, a silent one is not
+    Given two entries that were heard
+    When a list without "a" is read while "a" is still heard, and again when both are silent
+    Then "a" counted at first and only "b" counts afterwards
+
   Scenario: Duties of a data centre fall to few entries
     Then of 14 entries that hear each other 1 is the relay and 2 follow the store
     And when the first 2 of 14 lose the store the next 2 follow it
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -482,6 +482,28 @@
   );
 });
 
+const shares: number[] = [];
+
+When("requests come before the list of entries is read", () => {
+  share = new RegionShare();
+  shares.length = 0;
+  for (const known of [undefined, undefined, prior]) {
+    share.update(calm, calm, {
+      nowMillis: 0,
+      agreed: undefined,
+      prior: known,
+    });
+    shares.push(share.share);
+  }
+});
+
+Then(
+  "the share is {int} until then and {float} as soon as it is known",
+  (before: number, after: number) => {
+    assert.deepEqual(shares, [before, before, after]);
+  },
+);
+
 let agreedShares: AgreedShares;
 
 Given(
@@ -681,6 +703,28 @@
   },
 );
 
+let counts: number[] = [];
+
+When(
+  "a list without {string} is read while {string} is still heard, and again when both are silent",
+  (_gone: string, _same: string) => {
+    const listed = new Set(["b"]);
+    members.retain(listed, 100);
+    counts = [members.count];
+    members.retain(listed, 60_000);
+    counts.push(members.count);
+  },
+);
+
+Then(
+  "{string} counted at first and only {string} counts afterwards",
+  (_gone: string, left: string) => {
+    // This entry counts, too.
+    assert.deepEqual(counts, [3, 2]);
+    assert.deepEqual(members.all().map(({ record }) => record.id), [left]);
+  },
+);
+
 function candidates(count: number, lost = 0): Candidate[] {
   return Array.from({ length: count }, (_, i) => ({
     id: `entry-${String(i).padStart(2, "0")}`,
--- a/packages/steering/src/member_view.ts
+++ b/packages/steering/src/member_view.ts
@@ -75,6 +75,15 @@
     });
   }
 
+  /** Forgets entries that the store no longer lists and that are silent: they left. */
+  retain(listed: ReadonlySet<string>, nowMillis: number): void {
+    for (const [id, member] of this.#members) {
+      if (listed.has(id) || nowMillis < member.liveUntilMillis) continue;
+      this.#members.delete(id);
+      this.#generation++;
+    }
+  }
+
   /** Takes over a heartbeat. Returns true where it tells of a new life. */
   hear(record: EntryRecord, state: MemberState, nowMillis: number): boolean {
     const known = this.#members.get(record.id);
--- a/packages/steering/src/region_share.ts
+++ b/packages/steering/src/region_share.ts
@@ -33,8 +33,8 @@
   nowMillis: number;
   /** Mean share of the region's other entries; undefined where none told it. */
   agreed: number | undefined;
-  /** Share to begin with where nobody told one. */
-  prior: number;
+  /** Share to begin with where nobody told one; undefined until it is known. */
+  prior: number | undefined;
 }
 
 /**
@@ -53,6 +53,7 @@
 /** Share of objects that leave the region. */
 export class RegionShare {
   #share = 0;
+  #begun = false;
   #nearLoad = 0;
   #farLoad = 0;
   #load = 0;
@@ -71,8 +72,9 @@
   /** Looks at the load of both sides. */
   update(near: RegionLoad, far: RegionLoad, context: ShareContext): void {
     const { nowMillis, agreed } = context;
-    if (this.#updatedAtMillis === undefined) {
-      this.#share = agreed ?? context.prior;
+    if (!this.#begun) {
+      this.#share = agreed ?? context.prior ?? 0;
+      this.#begun = agreed !== undefined || context.prior !== undefined;
     }
     const elapsedMillis = nowMillis - (this.#updatedAtMillis ?? nowMillis);
     this.#updatedAtMillis = nowMillis;
