--- a/packages/gateway/src/stall_watch.ts
+++ b/packages/gateway/src/stall_watch.ts
@@ -14,7 +14,8 @@
 export class StallWatch {
   readonly #timer: NodeJS.Timeout;
   #lookedAtMillis = performance.now();
-  #stalledAtMillis = -Infinity;
+  /** A process that starts has stood still until now. */
+  #stalledAtMillis = performance.now();
 
   constructor() {
     this.#timer = setInterval(() => this.#look(), tickMillis);
