A soak that can't start says so in its last line

Change: any such end is reported in the last line, with what to do where a port is taken. Excluded: a breach, since none was printed.

--- a/tools/src/soak/run_soak.ts
+++ b/tools/src/soak/run_soak.ts
@@ -168,4 +168,17 @@
   .help()
   .parseAsync();
 
-process.exit(await runSoak(args));
+/** Says in the last line why a soak ended without a result. */
+function failSoak(error: NodeJS.ErrnoException): never {
+  const advice = error.code === "EADDRINUSE"
+    ? "; another soak or matrix of this profile uses the same ports, let it end first"
+    : "";
+  process.stderr.write(`${error.stack ?? error.message}\n`);
+  process.stdout.write(
+    `soak: seed ${args.seed}, no result: ${error.message}${advice}\n`,
+  );
+  process.exit(1);
+}
+
+process.on("uncaughtException", failSoak);
+process.exit(await runSoak(args).catch(failSoak));
