--- a/packages/gateway/features/replay_steps.ts
+++ b/packages/gateway/features/replay_steps.ts
@@ -4,11 +4,11 @@
 import assert from "node:assert/strict";
 import { Before, Then, When } from "@cucumber/cucumber";
 import { loadPatterns } from "@bamboolane/tools/replay/load_pattern";
+import { playPattern } from "@bamboolane/tools/replay/play_pattern";
 import {
   largestShift,
-  playPattern,
   type ReplayResult,
-} from "@bamboolane/tools/replay/play_pattern";
+} from "@bamboolane/tools/replay/replay_result";
 import { replayArms } from "@bamboolane/tools/replay/replay_arm";
 
 const results = new Map<string, ReplayResult[]>();
--- a/tools/src/bench/replay_bench.ts
+++ b/tools/src/bench/replay_bench.ts
@@ -3,11 +3,8 @@
  * and those weighed against it, on a fake clock.
  */
 import { loadPatterns } from "../replay/load_pattern.ts";
-import {
-  largestShift,
-  playPattern,
-  type ReplayResult,
-} from "../replay/play_pattern.ts";
+import { playPattern } from "../replay/play_pattern.ts";
+import { largestShift, type ReplayResult } from "../replay/replay_result.ts";
 import { replayArms } from "../replay/replay_arm.ts";
 import {
   atMost,
--- /dev/null
+++ b/tools/src/replay/pattern_rows.ts
@@ -0,0 +1,89 @@
+/**
+ * A load pattern as the rows that a store would publish.
+ */
+import {
+  type EntryRecord,
+  Repeat,
+  type StateRow,
+  type SteeringRoute,
+} from "@bamboolane/steering/steering_config";
+import type { LoadPattern } from "./load_pattern.ts";
+import type { SimulatedTarget } from "./simulated_target.ts";
+
+/** The one service of a pattern. */
+export const service = "s";
+
+/** The one route of a pattern. */
+export function routeOf(pattern: LoadPattern): SteeringRoute {
+  return {
+    name: "r",
+    host: "replay.example",
+    prefix: "/",
+    repeat: Repeat.idempotent,
+    timeoutMillis: pattern.deadlineMillis,
+    objectiveMillis: pattern.objectiveMillis,
+    attempts: 1,
+    priority: 1,
+    affinity: true,
+    allowedRegions: [],
+    parts: [{ service, weight: 1 }],
+  };
+}
+
+/** What the store publishes: the route and the targets. */
+export function rowsOf(
+  pattern: LoadPattern,
+  route: SteeringRoute,
+  targets: readonly SimulatedTarget[],
+): StateRow[] {
+  const config: StateRow = {
+    kind: "config",
+    version: 1,
+    config: {
+      revision: 1,
+      routes: [route],
+      services: [{
+        name: service,
+        healthPath: "",
+        maxConnections: 100,
+        warmupMillis: 0,
+        warmupPerSecond: 5,
+      }],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMillis: 1,
+        idleTimeoutMillis: 1,
+      },
+    },
+  };
+  const records = targets.map((target, i): StateRow => ({
+    kind: "target",
+    version: 2 + i,
+    id: target.id,
+    record: {
+      id: target.id,
+      service,
+      address: `${target.id}:1`,
+      dataCentre: target.region,
+      slots: pattern.slots,
+      draining: false,
+      warmupLeftMillis: 0,
+      bornMillis: 1,
+    },
+  }));
+  return [config, ...records];
+}
+
+/** An entry of a region that is one data centre. */
+export function entryRecord(id: string, region: string): EntryRecord {
+  return {
+    id,
+    incarnation: 1,
+    dataCentre: region,
+    region,
+    callerAddress: "",
+    peerAddress: "",
+    stateAddress: "",
+  };
+}
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -3,79 +3,25 @@
  * counts what callers got.
  */
 import type { GatewayRequest } from "@bamboolane/gateway/gateway_request";
-import {
-  type EntryRecord,
-  Repeat,
-  type StateRow,
-  type SteeringRoute,
-} from "@bamboolane/steering/steering_config";
+import type { SteeringRoute } from "@bamboolane/steering/steering_config";
 import { seededRandom } from "@bamboolane/test-utils/seeded_random";
 import { EventQueue } from "./event_queue.ts";
 import type { LoadPattern, PatternEvent } from "./load_pattern.ts";
+import { entryRecord, routeOf, rowsOf, service } from "./pattern_rows.ts";
 import type { ReplayArm } from "./replay_arm.ts";
+import {
+  emptyResult,
+  type RegionResult,
+  type ReplayResult,
+  type WindowRuns,
+} from "./replay_result.ts";
 import { type RequestEnd, SimulatedEntry } from "./simulated_entry.ts";
 import { SimulatedTarget } from "./simulated_target.ts";
 
-/** What the callers of one region got. */
-export interface RegionResult {
-  region: string;
-  asked: number;
-  /** Within the objective, counted from the caller's first attempt. */
-  inTime: number;
-  late: number;
-  refused: number;
-  /** Of the refused, those that had come back before. */
-  refusedAgain: number;
-  failed: number;
-  /** Time from the first attempt to the answer, of those served. */
-  latenciesMillis: number[];
-}
-
-/** What one replay gave. */
-export interface ReplayResult {
-  regions: RegionResult[];
-  /** Part of the runs that found their object known. */
-  warmShare: number;
-  /** Slot time spent on requests whose caller had given up, in parts of all. */
-  wastedShare: number;
-  /** Runs of each region's requests, by window of 2 s. */
-  windows: ReadonlyMap<string, readonly WindowRuns[]>;
-}
-
-/** Runs in one window, and those of them in other regions. */
-export interface WindowRuns {
-  all: number;
-  away: number;
-}
-
-/**
- * Largest change between two windows of the part of a region's runs that leave
- * it. Several replays are added up, so that it shows what the decisions do and
- * not which callers happened to call.
- */
-export function largestShift(results: readonly ReplayResult[]): number {
-  let largest = 0;
-  for (const region of results[0].windows.keys()) {
-    const shares: number[] = [];
-    const columns = results.map(({ windows }) => windows.get(region) ?? []);
-    const length = Math.min(...columns.map((windows) => windows.length));
-    for (let i = 0; i < length; i++) {
-      const all = columns.reduce((sum, windows) => sum + windows[i].all, 0);
-      const away = columns.reduce((sum, windows) => sum + windows[i].away, 0);
-      shares.push(away / Math.max(1, all));
-    }
-    for (let i = 1; i < shares.length; i++) {
-      largest = Math.max(largest, Math.abs(shares[i] - shares[i - 1]));
-    }
-  }
-  return largest;
-}
-
 /** How often entries hear of each other. */
 const heartbeatMillis = 150;
 const windowMillis = 2000;
 const callerWayMillis = 1;
-const service = "s";
 
 /** Plays `pattern` with `arm`; the same seed gives the same result. */
 export function playPattern(
@@ -382,88 +328,3 @@
   abusive: boolean;
   returned: boolean;
 }
-
-function emptyResult(region: string): RegionResult {
-  return {
-    region,
-    asked: 0,
-    inTime: 0,
-    late: 0,
-    refused: 0,
-    refusedAgain: 0,
-    failed: 0,
-    latenciesMillis: [],
-  };
-}
-
-function routeOf(pattern: LoadPattern): SteeringRoute {
-  return {
-    name: "r",
-    host: "replay.example",
-    prefix: "/",
-    repeat: Repeat.idempotent,
-    timeoutMillis: pattern.deadlineMillis,
-    objectiveMillis: pattern.objectiveMillis,
-    attempts: 1,
-    priority: 1,
-    affinity: true,
-    allowedRegions: [],
-    parts: [{ service, weight: 1 }],
-  };
-}
-
-function rowsOf(
-  pattern: LoadPattern,
-  route: SteeringRoute,
-  targets: readonly SimulatedTarget[],
-): StateRow[] {
-  const config: StateRow = {
-    kind: "config",
-    version: 1,
-    config: {
-      revision: 1,
-      routes: [route],
-      services: [{
-        name: service,
-        healthPath: "",
-        maxConnections: 100,
-        warmupMillis: 0,
-        warmupPerSecond: 5,
-      }],
-      limits: {
-        headerBytes: 1,
-        bodyBytes: 1,
-        headerTimeoutMillis: 1,
-        idleTimeoutMillis: 1,
-      },
-    },
-  };
-  const records = targets.map((target, i): StateRow => ({
-    kind: "target",
-    version: 2 + i,
-    id: target.id,
-    record: {
-      id: target.id,
-      service,
-      address: `${target.id}:1`,
-      dataCentre: target.region,
-      slots: pattern.slots,
-      draining: false,
-      warmupLeftMillis: 0,
-      bornMillis: 1,
-    },
-  }));
-  return [config, ...records];
-}
-
-function entryRecord(id: string, region: string): EntryRecord {
-  return {
-    id,
-    incarnation: 1,
-    dataCentre: region,
-    region,
-    callerAddress: "",
-    peerAddress: "",
-    stateAddress: "",
-  };
-}
