A free slot isn't for a request that can't end in time

Its caller had given up while the entry started. Change: at least a quarter of the expected time has to be left; that is what known objects take. Test: at load 0.1 a request of 220 ms with 36 ms left was accepted before and is refused now; with 100 ms left it is accepted.

--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -72,6 +72,9 @@
   Scenario: A free slot is for whoever comes while load is low
     Then a late request is accepted at load 0.2 and refused at load 0.9
 
+  Scenario: What can't end in time isn't given a free slot either
+    Then at load 0.1 a request of 220 ms is refused with 36 ms left and accepted with 100 ms left
+
   Scenario: What can't end before its deadline is refused at once
     Then a request with 6000 ms left behind a line of 8 s is refused with a Retry-After of at least 1.9 s
     And a request with 400 ms left behind a line of 2 s is refused with a Retry-After of at least 0.13 s
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -441,6 +441,16 @@
   },
 );
 
+Then(
+  "at load {float} a request of {int} ms is refused with {int} ms left and accepted with {int} ms left",
+  (load: number, serviceMillis: number, little: number, enough: number) => {
+    const admit = (leftMillis: number) =>
+      admitRequest({ ...lateRequest, load, serviceMillis, leftMillis }).kind;
+    assert.equal(admit(little), "refuse");
+    assert.equal(admit(enough), "accept");
+  },
+);
+
 Then(
   "a request with {int} ms left behind a line of {int} s is refused with a Retry-After of at least {float} s",
   (leftMillis: number, lineSeconds: number, retrySeconds: number) => {
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -37,6 +37,11 @@
 const objectiveTolerance = 1.25;
 /** Part of the time left that may be used, for the same reason. */
 const usableShareOfDeadline = 0.85;
+/**
+ * Part of the expected time that must be left even where a slot is free: work
+ * for a known object takes about that much of what is expected without one.
+ */
+const hopefulShareOfExpected = 0.25;
 /** Load below which a free slot is for whoever comes, also where the answer will be late. */
 const busyLoad = 0.45;
 /** Part of the time left that a caller may spend before it comes back. */
@@ -48,10 +53,11 @@
 /** Decides about one request. */
 export function admitRequest(question: AdmissionQuestion): Admission {
   const { leftMillis, objectiveLeftMillis } = question;
-  if (question.waitMillis === 0 && question.load < busyLoad) {
+  const expectedMillis = question.waitMillis + question.serviceMillis;
+  const isHopeful = leftMillis >= expectedMillis * hopefulShareOfExpected;
+  if (question.waitMillis === 0 && question.load < busyLoad && isHopeful) {
     return { kind: "accept" };
   }
-  const expectedMillis = question.waitMillis + question.serviceMillis;
   const usableMillis = leftMillis * usableShareOfDeadline;
   const boundMillis = objectiveLeftMillis > 0
     ? Math.min(usableMillis, objectiveLeftMillis * objectiveTolerance)
