A missed tick counts as standing still

The log of front-thies-nord-2 shows some eighty requests between seconds 26.2 and 28 that were sent on and cancelled 2 to 9 ms later: it was short of processor time after its start, read each request half a second late, and its turns of 55 ms didn't count as a stall of 100. Change: a gap of two ticks of 25 ms counts.

--- a/packages/gateway/src/stall_watch.ts
+++ b/packages/gateway/src/stall_watch.ts
@@ -1,13 +1,13 @@
 /**
- * Tells whether the process stood still a moment ago: while it loads code, is
+ * Tells whether the process was late a moment ago: while it loads code, is
  * short of processor time or was paused. What it then reads may be long over.
  */
 
 /** How often the watch looks. */
 const tickMillis = 25;
-/** A gap between two looks that is no ordinary delay: four ticks. */
-const stallMillis = 100;
-/** How long after a stall its backlog may still be read. */
+/** A gap between two looks that is no ordinary delay: a tick was missed. */
+const stallMillis = 2 * tickMillis;
+/** How long after such a gap its backlog may still be read. */
 const backlogMillis = 1000;
 
 /** Watches the event loop. */
