Judge the loop's lateness by its ticks, not by its questions

And a late loop runs timers before it reads, so the pause ended too early. Change: only ticks move the time that gaps are measured from; the pause ends after the loop has read. Test: a loop of 60 ms turns that is asked 20 times a turn didn't count as late before, and does now.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -109,6 +109,10 @@
     When 5 callers of "e1" send a request and leave while the process stands still for 400 ms
     Then "t1" saw 0 requests
 
+  Scenario: A loop that is late counts as late however often it is asked
+    When the loop turns every 60 ms and each turn asks 20 times whether it was late
+    Then it was late
+
   Scenario: Pipelined requests are answered in order
     Given a target "t1" that answers slowly at first
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -7,6 +7,7 @@
 import { Worker } from "node:worker_threads";
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
+import { StallWatch } from "@bamboolane/gateway/stall_watch";
 import {
   formatAnswer,
   type Script,
@@ -326,6 +327,30 @@
   },
 );
 
+let wasLate = false;
+
+When(
+  "the loop turns every {int} ms and each turn asks {int} times whether it was late",
+  async (turnMillis: number, times: number) => {
+    const watch = new StallWatch();
+    // What the start counts for has to be over.
+    await pause(1200);
+    for (let turn = 0; turn < 5; turn++) {
+      for (let i = 0; i < times; i++) {
+        const endMillis = performance.now() + turnMillis / times;
+        while (performance.now() < endMillis) {
+          // Keeps the loop busy.
+        }
+        wasLate = watch.stalledLately();
+      }
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    watch.stop();
+  },
+);
+
+Then("it was late", () => assert.ok(wasLate));
+
 /** A thread that calls and leaves while the process's main thread is busy. */
 const leavingCallers = `
   const { connect } = require("node:net");
--- a/packages/gateway/src/stall_watch.ts
+++ b/packages/gateway/src/stall_watch.ts
@@ -23,7 +23,10 @@
   #stalledAtMillis = performance.now();
 
   constructor() {
-    this.#timer = setInterval(() => this.#look(), tickMillis);
+    this.#timer = setInterval(() => {
+      this.#look();
+      this.#lookedAtMillis = performance.now();
+    }, tickMillis);
     this.#timer.unref();
   }
 
@@ -42,11 +45,12 @@
     if (nowMillis - this.#lookedAtMillis > stallMillis) {
       this.#stalledAtMillis = nowMillis;
     }
-    this.#lookedAtMillis = nowMillis;
   }
 }
 
 /** Lets the event loop read what arrived meanwhile, such as a caller's close. */
-export function catchUp(): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, catchUpMillis));
+export async function catchUp(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, catchUpMillis));
+  // A late loop runs timers before it reads; this comes after it has read.
+  await new Promise((resolve) => setImmediate(resolve));
 }
