Log the limits that targets name

Cause: logs and metrics couldn't tell whether entries know the limit that a target names, or know it and exceed it together. Change: the dialect decodes the header; a target's state holds its limit; a log line for each change, a field of the send line, a gauge of limited targets. Placement doesn't use it yet.

--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -31,6 +31,7 @@
   signatureHeader: "test-signature",
   expectedTargetHeader: "test-target",
   loadHeader: "test-load",
+  limitHeader: "test-limit",
   notRunHeader: "test-not-run",
   warmupHeader: "test-warmup",
   misdirectedStatus: 421,
@@ -38,6 +39,7 @@
   directoryPath: "/entries",
   parseObject: (cookies) => cookies,
   parseLoad: () => undefined,
+  parseLimit: Number,
   parseLocation: (query) => ({
     region: query.get("region") ?? "",
     dataCentre: query.get("place") ?? "",
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -13,7 +13,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import type { RoundTripEstimates } from "./round_trip_estimates.ts";
-import type { AttemptEnd } from "./send_attempt.ts";
+import type { AnswerHead, AttemptEnd } from "./send_attempt.ts";
 import { isConnectionRefused } from "./target_connections.ts";
 
 /** Options of {@link AttemptRecorder}. */
@@ -50,6 +50,33 @@
     this.#options = options;
   }
 
+  /** Updates the target's load and limit from the headers of its answer. */
+  recordHead(target: TargetState, head: AnswerHead, nowMillis: number): void {
+    const { dialect, log } = this.#options;
+    const load = head.load === undefined
+      ? undefined
+      : dialect.parseLoad(head.load);
+    if (load) target.recordLoad(load, nowMillis);
+    const limitPerSecond = head.limit === undefined
+      ? undefined
+      : dialect.parseLimit(head.limit);
+    if (head.limit !== undefined && limitPerSecond === undefined) {
+      log.warn("limit_unreadable", {
+        target: target.record.id,
+        header: head.limit,
+      });
+      return;
+    }
+    const change = target.requestLimit.observe(limitPerSecond);
+    if (change) {
+      log.info("target_limit", {
+        target: target.record.id,
+        ...change,
+        status: head.status,
+      });
+    }
+  }
+
   /** Updates the state from a finished attempt. */
   recordAttempt(
     request: GatewayRequest,
--- a/packages/gateway/src/caller_dialect.ts
+++ b/packages/gateway/src/caller_dialect.ts
@@ -17,6 +17,8 @@
   expectedTargetHeader: string;
   /** Load that a target reports in its answers. */
   loadHeader: string;
+  /** Requests per second that a target takes from all entries together. */
+  limitHeader: string;
   /** Marks an answer of a target that did not run the request. */
   notRunHeader: string;
   /** Remaining warm-up time of a target, in its health answers. */
@@ -29,6 +31,8 @@
   parseObject(cookies: string | undefined): string | undefined;
   /** Returns undefined for an invalid header. */
   parseLoad(header: string): LoadReport | undefined;
+  /** Returns the requests per second; undefined for an invalid header. */
+  parseLimit(header: string): number | undefined;
   /** Reads the caller's region and data centre from a look-up. */
   parseLocation(query: URLSearchParams): CallerLocation;
   /** Formats the directory's answer: addresses of entries for callers. */
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -103,6 +103,15 @@
     if (table === StateTable.operator) this.#retainEvacuations(rows, options);
   }
 
+  /** Number of targets that name a request limit. */
+  get limitedTargetCount(): number {
+    let count = 0;
+    for (const { requestLimit } of this.targets.all()) {
+      if (requestLimit.perSecond !== undefined) count++;
+    }
+    return count;
+  }
+
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuated.get(dataCentre)?.active ?? false;
   }
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -224,6 +224,7 @@
         this.#placer.serviceState(request.service).remoteShare.load,
       ),
       warm: placement.warm,
+      limitPerSecond: target.requestLimit.perSecond,
       waitMillis: Math.round(placement.waitMillis),
       expectedMillis: Math.round(placement.finishMillis),
       leftMillis: Math.round(remainingMillis),
@@ -243,10 +244,9 @@
       dialect,
       targetId: record.id,
       remainingMillis,
-      onHead: (load) => {
+      onHead: (head) => {
         headAtMillis = performance.now();
-        const report = load === undefined ? undefined : dialect.parseLoad(load);
-        if (report) target.recordLoad(report, headAtMillis);
+        this.#attemptRecorder.recordHead(target, head, headAtMillis);
       },
       onEnd: (end) => {
         const endMillis = performance.now();
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -78,6 +78,15 @@
 /** Statuses of answers that never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** What an answer's headers state about its target. */
+export interface AnswerHead {
+  status: number;
+  /** The target's load header, if any. */
+  load: string | undefined;
+  /** The target's limit header, if any. */
+  limit: string | undefined;
+}
+
 /** Options of {@link sendAttempt}. */
 export interface AttemptOptions {
   connection: TargetConnection;
@@ -85,8 +94,8 @@
   targetId: string;
   /** Time until the request's deadline, which is forwarded to the target. */
   remainingMillis: number;
-  /** Called with the target's load header once the answer's headers arrived. */
-  onHead: (loadHeader: string | undefined) => void;
+  /** Called once the answer's headers arrived. */
+  onHead: (head: AnswerHead) => void;
   onEnd: (end: AttemptEnd) => void;
 }
 
@@ -162,13 +171,20 @@
     this.#framed = headersByName.has("content-length") ||
       headersByName.has("transfer-encoding") || BODILESS_STATUSES.has(status);
     if (!this.#framed) this.#options.connection.expectClose();
-    this.#options.onHead(headersByName.get(dialect.loadHeader));
+    this.#options.onHead({
+      status,
+      load: headersByName.get(dialect.loadHeader),
+      limit: headersByName.get(dialect.limitHeader),
+    });
     this.#closesConnection =
       headersByName.get("connection")?.toLowerCase() === "close";
     this.#notRun = headersByName.has(dialect.notRunHeader) ||
       status === dialect.misdirectedStatus;
     this.#corruption = this.#findCorruption(headersByName);
-    this.#headers = endToEndHeaders(raw, new Set([dialect.loadHeader]));
+    this.#headers = endToEndHeaders(
+      raw,
+      new Set([dialect.loadHeader, dialect.limitHeader]),
+    );
   }
 
   onResponseData(
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -49,6 +49,7 @@
   bamboolane_cut_off: "1 while the revision can't be proven newest.",
   bamboolane_in_flight: "Requests held by this instance.",
   bamboolane_live_instances: "Instances considered live.",
+  bamboolane_limited_targets: "Targets that name a request limit.",
   bamboolane_resident_bytes: "Resident memory of the process.",
 } as const;
 
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -4,6 +4,7 @@
  */
 import { WarmupLimiter } from "./warmup_limiter.ts";
 import { MovingAverage } from "./moving_average.ts";
+import { RequestLimit } from "./request_limit.ts";
 import type { TargetRecord } from "./steering_config.ts";
 
 /** Load that a target reported with an answer. */
@@ -59,6 +60,8 @@
   #slowdownFactor = 1;
   readonly #recentObjects = new Map<string, number>();
   readonly #warmupLimiter = new WarmupLimiter();
+  /** Limit that the target names in its answers. */
+  readonly requestLimit = new RequestLimit();
   #coldUntilMillis: number;
   #pausedUntilMillis = 0;
   #connectFailures = 0;
