--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -124,6 +124,10 @@
     await sendLongAnswer(received, socket, { bytes: LONG_ANSWER_BYTES - 1 });
     socket.resetAndDestroy();
   },
+  "answers after 40 ms": async (received, socket) => {
+    await pause(40);
+    answerValidly(received, socket);
+  },
   "answers after 400 ms": async (received, socket) => {
     await pause(400);
     answerValidly(received, socket);
