Keep a target's request limit over all entries together

Cause: entries didn't keep the limit, and the limit holds for all entries together, while each entry decides alone. Change: each entry computes its part of the limit from the entries that exist, as for cold targets: the entries of the target's region get equal parts, known entries that are not live keep theirs, and the bursts of all parts together stay within what a target tolerates in advance. Heartbeats and digests carry the newest observation of a limit, so that entries which send nothing know it and its end, and a starting entry knows it before its first request. An entry that doesn't know the others has no part. Homes and load count the slots that a limit leaves usable, and a target with a limit takes requests away from their homes, since its slots are not what is short. An answer for another target, or a refusal without the header, ends no limit.

--- a/packages/gateway/features/limit_steps.ts
+++ b/packages/gateway/features/limit_steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { StateTable } from "@bamboolane/gateway/state_store";
 import { formatResponse } from "@bamboolane/standins/scripted_target";
 import { call, pause, world } from "./support/scenario.ts";
 
@@ -34,27 +35,66 @@
   return Math.max(0, ...windows);
 }
 
+async function addLimitedTarget(
+  id: string,
+  options: { perSecond: number; refusesEvery?: number },
+): Promise<void> {
+  const { perSecond, refusesEvery = Infinity } = options;
+  const target: LimitedTarget = { perSecond, arrivals: [] };
+  limitedTargets.set(id, target);
+  await world.system.addTarget(id, async (received, socket) => {
+    target.arrivals.push(performance.now());
+    const requestId = received.headers["test-request"];
+    if (target.arrivals.length % refusesEvery === 0) {
+      const headers = { "Test-Request": requestId, "Test-Not-Run": "1" };
+      socket.write(formatResponse(503, headers, ""));
+      return;
+    }
+    await pause(10);
+    const limit = target.perSecond === undefined
+      ? {}
+      : { "Test-Limit": String(target.perSecond) };
+    socket.write(formatResponse(200, {
+      "Test-Request": requestId,
+      "Test-Signature": "valid",
+      ...limit,
+    }, `body of ${requestId}`));
+  });
+}
+
+Given(
+  /^a target "(\w+)" that limits itself to ([\d.]+) requests? per second$/,
+  (id: string, perSecond: string) =>
+    addLimitedTarget(id, { perSecond: Number(perSecond) }),
+);
+
+Given(
+  "a target {string} that limits itself to {float} requests per second and refuses every third without naming it",
+  (id: string, perSecond: number) =>
+    addLimitedTarget(id, { perSecond, refusesEvery: 3 }),
+);
+
 Given(
-  "a target {string} that limits itself to {float} requests per second",
-  async (id: string, perSecond: number) => {
-    const target: LimitedTarget = { perSecond, arrivals: [] };
-    limitedTargets.set(id, target);
-    await world.system.addTarget(id, async (received, socket) => {
-      target.arrivals.push(performance.now());
-      await pause(10);
-      const requestId = received.headers["test-request"];
-      const limit = target.perSecond === undefined
-        ? {}
-        : { "Test-Limit": String(target.perSecond) };
-      socket.write(formatResponse(200, {
-        "Test-Request": requestId,
-        "Test-Signature": "valid",
-        ...limit,
-      }, `body of ${requestId}`));
-    });
+  "{int} entries that start together and can't read the list of entries",
+  async (count: number) => {
+    world.system.store.unreadableTables.add(StateTable.entries);
+    const ids = Array.from({ length: count }, (_, i) => `e${i + 1}`);
+    await Promise.all(ids.map((id) => world.system.addEntry(id)));
   },
 );
 
+When("an entry {string} starts", (id: string) => world.system.addEntry(id));
+
+When("{string} no longer has a limit", (id: string) => {
+  limitedTarget(id).perSecond = undefined;
+});
+
+When("{string} becomes cold", (id: string) => {
+  for (const { gateway } of world.system.entries.values()) {
+    gateway.state.targets.get(id)?.markCold(60_000, performance.now());
+  }
+});
+
 When(
   "{int} callers of each entry send one after another for {float} s",
   { timeout: 60_000 },
@@ -95,6 +135,44 @@
   },
 );
 
+/** True if every entry knows the target's limit, or that it has none. */
+function allKnowLimit(id: string, perSecond: number | undefined): boolean {
+  return [...world.system.entries.values()].every(({ gateway }) =>
+    gateway.state.targets.get(id)?.requestLimit.perSecond === perSecond
+  );
+}
+
+Then(
+  /^all entries know a limit of ([\d.]+) requests? per second at "(\w+)"$/,
+  (perSecond: string, id: string) => {
+    assert.ok(allKnowLimit(id, Number(perSecond)));
+  },
+);
+
+Then(
+  /^within (\d+) s all entries know a limit of ([\d.]+) requests? per second at "(\w+)"$/,
+  async (seconds: string, perSecond: string, id: string) => {
+    const endMillis = performance.now() + Number(seconds) * 1000;
+    while (!allKnowLimit(id, Number(perSecond))) {
+      assert.ok(performance.now() < endMillis, `not known after ${seconds} s`);
+      await pause(20);
+    }
+  },
+);
+
+Then("all entries know that {string} has no limit", (id: string) => {
+  assert.ok(allKnowLimit(id, undefined));
+});
+
+Then("no entry logged that the limit of {string} ended", (id: string) => {
+  const lines = world.system.logText.split("\n").filter((line) =>
+    line.includes("event=target_limit") && line.includes(`target=${id} `)
+  );
+  assert.ok(lines.length > 0, "the limit was logged");
+  const ended = lines.filter((line) => line.includes("fromPerSecond"));
+  assert.deepEqual(ended, []);
+});
+
 Then("all callers were served", () => {
   const refused = world.replies.filter(({ status }) => status !== 200);
   assert.equal(refused.length, 0, `of ${world.replies.length}`);
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -52,29 +52,31 @@
 
   /** Updates the target's load and limit from the headers of its answer. */
   recordHead(target: TargetState, head: AnswerHead, nowMillis: number): void {
-    const { dialect, log } = this.#options;
+    const { dialect } = this.#options;
+    // Another target than the expected one answers this way.
+    if (head.status === dialect.misdirectedStatus) return;
     const load = head.load === undefined
       ? undefined
       : dialect.parseLoad(head.load);
     if (load) target.recordLoad(load, nowMillis);
-    const limitPerSecond = head.limit === undefined
+    this.#recordLimit(target, head, nowMillis);
+  }
+
+  #recordLimit(target: TargetState, head: AnswerHead, nowMillis: number): void {
+    const { dialect, log, state } = this.#options;
+    // A refusal may come from a part of the target that names no limit.
+    if (head.limit === undefined && head.notRun) return;
+    const perSecond = head.limit === undefined
       ? undefined
       : dialect.parseLimit(head.limit);
-    if (head.limit !== undefined && limitPerSecond === undefined) {
-      log.warn("limit_unreadable", {
+    if (head.limit !== undefined && perSecond === undefined) {
+      return log.warn("limit_unreadable", {
         target: target.record.id,
         header: head.limit,
       });
-      return;
-    }
-    const change = target.requestLimit.observe(limitPerSecond);
-    if (change) {
-      log.info("target_limit", {
-        target: target.record.id,
-        ...change,
-        status: head.status,
-      });
     }
+    const observation = { perSecond, observedAtMillis: nowMillis };
+    state.recordLimit(target.record.id, observation, { source: "answer" });
   }
 
   /** Updates the state from a finished attempt. */
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -6,10 +6,20 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { PeerShares } from "@bamboolane/steering/peer_shares";
 import { RouteIndex } from "@bamboolane/steering/match_route";
-import { MemberView } from "@bamboolane/steering/member_view";
+import {
+  DIGEST_TIMEOUT_MILLIS,
+  MemberView,
+} from "@bamboolane/steering/member_view";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
 import { WorkTimeEstimate } from "@bamboolane/steering/work_time_estimate";
-import { allocateWarmupRate } from "@bamboolane/steering/allocate_warmup_rate";
+import {
+  allocateRate,
+  limitTerms,
+  rankSenders,
+  warmupTerms,
+} from "@bamboolane/steering/allocate_rate";
+import type { RateShare } from "@bamboolane/steering/rate_limiter";
+import type { LimitObservation } from "@bamboolane/steering/request_limit";
 import { WeightedRoundRobin } from "@bamboolane/steering/weighted_round_robin";
 import type {
   StateRow,
@@ -30,6 +40,17 @@
 /** Warm-up time of targets whose service configures none. */
 const DEFAULT_WARMUP_MILLIS = 3000;
 
+const NO_RATE_SHARE: RateShare = { perSecond: 0, burst: 1 };
+const UNLIMITED_RATE_SHARE: RateShare = { perSecond: Infinity, burst: 1 };
+
+/** Known entries in their order of precedence as senders to one target. */
+interface SenderRanking {
+  /** Entries of the target's region. */
+  local: readonly string[];
+  /** All entries: those of the target's region, then the others. */
+  all: readonly string[];
+}
+
 /** State of one entry. */
 export class GatewayState {
   readonly targets = new TargetRegistry();
@@ -50,9 +71,11 @@
   #servicePickers = new Map<string, WeightedRoundRobin>();
   readonly #estimates = new Map<string, WorkTimeEstimate>();
   readonly #budgets = new Map<string, RetryBudget>();
-  /** Warm-up rates by target, valid for one generation of the member list. */
-  readonly #warmupRates = new Map<string, number>();
-  #warmupRatesGeneration = 0;
+  /** Entries ranked as senders, by target; valid for one generation of the member list. */
+  readonly #senderRankings = new Map<string, SenderRanking>();
+  #senderRankingsGeneration = 0;
+  /** When the list of entries was first read. */
+  #membersReadAtMillis = Infinity;
   #storeRecoveredAtMillis = -Infinity;
   /** Called after a change that may let queued requests be sent. */
   onChange: () => void = () => {};
@@ -157,25 +180,95 @@
     return this.#settings.dataCentres[target.record.dataCentre] ?? "";
   }
 
-  /** Requests per second that this entry may send to a cold target; 0 for none. */
-  warmupRatePerSecond(target: TargetState): number {
+  /**
+   * This entry's part of the rate of a cold target: none for targets of other
+   * regions, and none until the other entries are known.
+   */
+  warmupShare(target: TargetState): RateShare {
     const { region, id } = this.#settings.instance;
-    if (this.region(target) !== region) return 0;
-    if (this.#warmupRatesGeneration !== this.members.generation) {
-      this.#warmupRatesGeneration = this.members.generation;
-      this.#warmupRates.clear();
+    if (this.region(target) !== region) {
+      return NO_RATE_SHARE;
     }
-    let perSecond = this.#warmupRates.get(target.record.id);
-    if (perSecond === undefined) {
-      const service = this.#services.get(target.record.service);
-      perSecond = allocateWarmupRate(id, {
-        others: this.members.idsInRegion(region),
-        target: target.record.id,
-        perSecond: service?.warmupPerSecond ?? 0,
-      });
-      this.#warmupRates.set(target.record.id, perSecond);
+    const { local } = this.#senderRanking(target);
+    const service = this.#services.get(target.record.service);
+    return allocateRate(id, {
+      terms: warmupTerms(service?.warmupPerSecond ?? 0),
+      ranked: local,
+      candidates: local.length,
+    });
+  }
+
+  /**
+   * This entry's part of a target's request limit. The limit is divided among the
+   * entries of the target's region, or among all if there are none. No part until
+   * the other entries are known.
+   */
+  limitShare(target: TargetState, nowMillis: number): RateShare {
+    const { perSecond } = target.requestLimit;
+    if (perSecond === undefined) return UNLIMITED_RATE_SHARE;
+    if (!this.members.isComplete) return NO_RATE_SHARE;
+    const { local, all } = this.#senderRanking(target);
+    // Entries that were not heard yet may be live.
+    const knowsLiveEntries =
+      nowMillis - this.#membersReadAtMillis > DIGEST_TIMEOUT_MILLIS;
+    return allocateRate(this.#settings.instance.id, {
+      terms: limitTerms(perSecond),
+      ranked: all,
+      candidates: local.length > 0 ? local.length : all.length,
+      isLive: knowsLiveEntries
+        ? (entry) => this.members.isServing(entry, nowMillis)
+        : undefined,
+    });
+  }
+
+  /** Applies what an answer stated about its target's limit, as seen here or by a peer. */
+  recordLimit(
+    targetId: string,
+    observation: LimitObservation,
+    options: { source: string },
+  ): void {
+    const target = this.targets.get(targetId);
+    if (target === undefined) return;
+    const change = target.requestLimit.observe(observation, performance.now());
+    if (change === undefined) return;
+    this.#log.info("target_limit", {
+      target: targetId,
+      ...change,
+      source: options.source,
+    });
+  }
+
+  #senderRanking(target: TargetState): SenderRanking {
+    if (this.#senderRankingsGeneration !== this.members.generation) {
+      this.#senderRankingsGeneration = this.members.generation;
+      this.#senderRankings.clear();
+    }
+    const { id } = target.record;
+    let ranking = this.#senderRankings.get(id);
+    if (ranking === undefined) {
+      ranking = this.#rankSenders(target);
+      this.#senderRankings.set(id, ranking);
+    }
+    return ranking;
+  }
+
+  #rankSenders(target: TargetState): SenderRanking {
+    const targetRegion = this.region(target);
+    const entries = [
+      this.#settings.instance,
+      ...this.members.all().map(({ record }) => record),
+    ];
+    const local: string[] = [];
+    const remote: string[] = [];
+    for (const { id, region } of entries) {
+      if (region === targetRegion) local.push(id);
+      else remote.push(id);
     }
-    return perSecond;
+    const rankedLocal = rankSenders(target.record.id, local);
+    return {
+      local: rankedLocal,
+      all: [...rankedLocal, ...rankSenders(target.record.id, remote)],
+    };
   }
 
   /** Removes targets whose grace period is over, and discards old removals. */
@@ -215,7 +308,6 @@
         route,
       ) => [route.name, new WeightedRoundRobin(route.parts)]),
     );
-    this.#warmupRates.clear();
     this.#log.info("config_applied", {
       revision: config.revision,
       from,
@@ -309,6 +401,7 @@
       listed.add(row.id);
     }
     this.members.retain(listed, options.nowMillis);
+    if (!this.members.isComplete) this.#membersReadAtMillis = options.nowMillis;
     this.members.isComplete = true;
   }
 
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -6,6 +6,14 @@
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import type { RowVersions } from "./latest_rows.ts";
 
+/** What an answer of a target stated about its request limit. */
+export interface LimitReport {
+  /** Requests per second; null if the answer named no limit. */
+  perSecond: number | null;
+  /** Time since the answer. */
+  ageMillis: number;
+}
+
 /** Sent by an entry to the others of its data centre. */
 export interface Heartbeat {
   kind: "heartbeat";
@@ -24,6 +32,8 @@
   shares: Record<string, number>;
   /** Requests that crashed targets. */
   suspects: CrashSuspect[];
+  /** Request limits of targets, by id. */
+  limits?: Record<string, LimitReport>;
   /** Digests of other data centres that the relay received since its last heartbeat. */
   digests: Digest[];
 }
@@ -45,6 +55,8 @@
   shares: Record<string, number>;
   /** Requests that crashed targets. */
   suspects: CrashSuspect[];
+  /** Request limits of targets, by id. */
+  limits?: Record<string, LimitReport>;
 }
 
 /** Any datagram between entries. */
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -17,6 +17,7 @@
   DIGEST_TIMEOUT_MILLIS,
   type Member,
 } from "@bamboolane/steering/member_view";
+import { chooseLimitReports } from "@bamboolane/steering/choose_limit_reports";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { LAPSE_GRACE_MILLIS } from "@bamboolane/steering/target_registry";
 import type { GatewayState } from "./gateway_state.ts";
@@ -25,6 +26,7 @@
   type Digest,
   encodeMessage,
   type Heartbeat,
+  type LimitReport,
 } from "./peer_messages.ts";
 import type { RowVersions } from "./latest_rows.ts";
 
@@ -37,6 +39,7 @@
   reachesStore: () => boolean;
   inFlight: () => Record<string, number>;
   shares: () => Record<string, number>;
+  random: () => number;
   /** Called with the row versions of another entry. */
   onVersions: (peer: EntryRecord, versions: RowVersions) => void;
   /** Called when a digest names unknown entries. */
@@ -163,6 +166,7 @@
       inFlight: inFlight(),
       shares: this.#options.shares(),
       suspects: this.#suspects(),
+      limits: this.#limitReports(),
       digests,
     };
   }
@@ -238,9 +242,27 @@
       inFlight: sums,
       shares: this.#options.shares(),
       suspects: this.#suspects(),
+      limits: this.#limitReports(),
     };
   }
 
+  #limitReports(): Record<string, LimitReport> {
+    const nowMillis = performance.now();
+    const { state, random } = this.#options;
+    const observations = chooseLimitReports(state.targets.all(), {
+      nowMillis,
+      random,
+    });
+    const reports: Record<string, LimitReport> = {};
+    for (const [target, { perSecond, observedAtMillis }] of observations) {
+      reports[target] = {
+        perSecond: perSecond ?? null,
+        ageMillis: Math.round(nowMillis - observedAtMillis),
+      };
+    }
+    return reports;
+  }
+
   #send(peer: EntryRecord, bytes: Buffer): void {
     if (this.#stopped) return;
     const [host, port] = peer.peerAddress.split(":");
@@ -291,6 +313,7 @@
       state.recordStoreRecovery(nowMillis - heartbeat.storeBackAgeMillis);
     }
     this.#mergeSuspects(heartbeat.suspects, nowMillis);
+    this.#mergeLimits(heartbeat.entry, heartbeat.limits);
     for (const digest of heartbeat.digests) this.#handleDigest(digest);
     onVersions(heartbeat.entry, heartbeat.versions);
   }
@@ -308,6 +331,7 @@
     if (!allKnown) onUnknownMembers();
     this.#recordShares(relay, digest.shares);
     this.#mergeSuspects(digest.suspects, nowMillis);
+    this.#mergeLimits(relay, digest.limits);
     onVersions(relay, digest.versions);
   }
 
@@ -321,6 +345,19 @@
     );
   }
 
+  #mergeLimits(
+    source: EntryRecord,
+    limits: Record<string, LimitReport> = {},
+  ): void {
+    const nowMillis = performance.now();
+    for (const [target, { perSecond, ageMillis }] of Object.entries(limits)) {
+      this.#options.state.recordLimit(target, {
+        perSecond: perSecond ?? undefined,
+        observedAtMillis: nowMillis - ageMillis,
+      }, { source: source.id });
+    }
+  }
+
   #mergeSuspects(suspects: readonly CrashSuspect[], nowMillis: number): void {
     for (const suspect of suspects) {
       this.#options.state.crashes.merge(suspect, nowMillis);
--- a/packages/gateway/src/request_placer.ts
+++ b/packages/gateway/src/request_placer.ts
@@ -97,19 +97,21 @@
       !state.isEvacuated(target.record.dataCentre) &&
       (allowedRegions.length === 0 ||
         allowedRegions.includes(state.region(target)));
-    const remoteWeight = this.#remoteWeight(
-      request.service,
-      targets,
+    const estimate = this.estimate(request);
+    const workMillis = estimate.meanMillis();
+    const remoteWeight = this.#remoteWeight(request.service, targets, {
+      workMillis,
       nowMillis,
-    );
+    });
     const weightOf = (target: TargetState) => {
       if (target.isLeaving() || !isAllowed(target)) return 0;
-      return target.record.slots * (this.#isLocal(target) ? 1 : remoteWeight);
+      return target.usableSlots(workMillis) *
+        (this.#isLocal(target) ? 1 : remoteWeight);
     };
     return this.#decisions.place(targets, {
       object: request.object,
       nowMillis,
-      estimate: this.estimate(request),
+      estimate,
       load: this.serviceState(request.service).remoteShare.load,
       objectiveRemainingMillis: request.objectiveAtMillis - nowMillis,
       roundTripMillis: (target) =>
@@ -118,7 +120,8 @@
         ? NO_HOMES
         : this.#decisions.findHomes(request.object, targets, weightOf),
       isAllowed,
-      warmupRatePerSecond: (target) => state.warmupRatePerSecond(target),
+      warmupShare: (target) => state.warmupShare(target),
+      limitShare: (target) => state.limitShare(target, nowMillis),
       exclude: request.triedTargets,
     });
   }
@@ -135,15 +138,16 @@
   #remoteWeight(
     service: string,
     targets: readonly TargetState[],
-    nowMillis: number,
+    options: { workMillis: number; nowMillis: number },
   ): number {
+    const { workMillis, nowMillis } = options;
     const local = { inFlight: 0, slots: 0 };
     const remote = { inFlight: 0, slots: 0 };
     for (const target of targets) {
       if (target.isLeaving()) continue;
       if (this.#options.state.isEvacuated(target.record.dataCentre)) continue;
       const side = this.#isLocal(target) ? local : remote;
-      side.slots += target.record.slots;
+      side.slots += target.usableSlots(workMillis);
       side.inFlight += target.inFlight(nowMillis);
     }
     const { remoteShare } = this.serviceState(service);
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -205,7 +205,6 @@
     const { record } = target;
     const remainingMillis = request.expiresAtMillis - nowMillis;
     if (remainingMillis < MIN_SEND_MILLIS) return;
-    if (target.isCold(nowMillis)) target.warmupLimiter.take();
     const inFlight = target.inFlight(nowMillis);
     this.#placer.serviceState(request.service).departures.add(1, nowMillis);
     target.recordSend(request.object, nowMillis);
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -81,6 +81,8 @@
 /** What an answer's headers state about its target. */
 export interface AnswerHead {
   status: number;
+  /** The target proved that it did not run the request. */
+  notRun: boolean;
   /** The target's load header, if any. */
   load: string | undefined;
   /** The target's limit header, if any. */
@@ -171,16 +173,17 @@
     this.#framed = headersByName.has("content-length") ||
       headersByName.has("transfer-encoding") || BODILESS_STATUSES.has(status);
     if (!this.#framed) this.#options.connection.expectClose();
-    this.#options.onHead({
-      status,
-      load: headersByName.get(dialect.loadHeader),
-      limit: headersByName.get(dialect.limitHeader),
-    });
     this.#closesConnection =
       headersByName.get("connection")?.toLowerCase() === "close";
     this.#notRun = headersByName.has(dialect.notRunHeader) ||
       status === dialect.misdirectedStatus;
     this.#corruption = this.#findCorruption(headersByName);
+    this.#options.onHead({
+      status,
+      notRun: this.#notRun,
+      load: headersByName.get(dialect.loadHeader),
+      limit: headersByName.get(dialect.limitHeader),
+    });
     this.#headers = endToEndHeaders(
       raw,
       new Set([dialect.loadHeader, dialect.limitHeader]),
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -94,6 +94,7 @@
     reachesStore: () => !stopping && stateTask.reachesStore(),
     inFlight: () => runner.inFlightByTarget(),
     shares: () => runner.remoteShares(),
+    random: Math.random,
     onVersions: (peer, versions) => stateTask.handleVersions(peer, versions),
     onUnknownMembers: () => stateTask.readMembersIfDue(),
   });
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -6,12 +6,16 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import { admitRequest } from "@bamboolane/steering/admit_request";
-import { WarmupLimiter } from "@bamboolane/steering/warmup_limiter";
+import { RateLimiter, type RateShare } from "@bamboolane/steering/rate_limiter";
 import { RouteIndex } from "@bamboolane/steering/match_route";
 import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
 import { placeRequest } from "@bamboolane/steering/place_request";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
-import { allocateWarmupRate } from "@bamboolane/steering/allocate_warmup_rate";
+import {
+  allocateRate,
+  rankSenders,
+  warmupTerms,
+} from "@bamboolane/steering/allocate_rate";
 import { WorkTimeEstimate } from "@bamboolane/steering/work_time_estimate";
 import { WeightedRoundRobin } from "@bamboolane/steering/weighted_round_robin";
 import {
@@ -175,15 +179,15 @@
   },
 );
 
-let limiters: WarmupLimiter[] = [];
-let coldRates: number[] = [];
+let limiters: RateLimiter[] = [];
+let coldRates: RateShare[] = [];
 let coldEntries: string[] = [];
 const coldTimes: number[] = [];
 
 Given(
   "{int} entries of a region and a cold target that takes {float} requests per second",
   (entries: number, rate: number) => {
-    limiters = Array.from({ length: entries }, () => new WarmupLimiter());
+    limiters = Array.from({ length: entries }, () => new RateLimiter());
     coldTimes.length = 0;
     coldEntries = Array.from({ length: entries }, (_, i) => `entry-${i}`);
     coldRates = coldEntries.map((id) =>
@@ -200,16 +204,20 @@
     coldRates = coldEntries.map((id) =>
       coldRateOf(id, { target: "cold", perSecond })
     );
-    limiters = coldEntries.map(() => new WarmupLimiter());
+    limiters = coldEntries.map(() => new RateLimiter());
   },
 );
 
 function coldRateOf(
   id: string,
   options: { target: string; perSecond: number },
-): number {
-  const others = coldEntries.filter((other) => other !== id);
-  return allocateWarmupRate(id, { ...options, others });
+): RateShare {
+  const { target, perSecond } = options;
+  return allocateRate(id, {
+    terms: warmupTerms(perSecond),
+    ranked: rankSenders(target, coldEntries),
+    candidates: coldEntries.length,
+  });
 }
 
 Then(
@@ -219,7 +227,7 @@
       const rates = coldEntries.map((id) =>
         coldRateOf(id, { target: `target-${i}`, perSecond: 5.1 })
       );
-      const sum = rates.reduce((a, b) => a + b, 0);
+      const sum = rates.reduce((a, b) => a + b.perSecond, 0);
       assert.ok(Math.abs(sum - 5.1) < 1e-9, `target-${i}: ${sum}`);
     }
   },
@@ -230,8 +238,7 @@
   (seconds: number) => {
     for (let nowMillis = 0; nowMillis < seconds * 1000; nowMillis += 5) {
       limiters.forEach((limiter, i) => {
-        const perSecond = coldRates[i];
-        if (perSecond <= 0 || !limiter.allows(nowMillis, { perSecond })) return;
+        if (limiter.readyAtMillis(nowMillis, coldRates[i]) > nowMillis) return;
         limiter.take();
         coldTimes.push(nowMillis);
       });
@@ -364,7 +371,8 @@
     roundTripMillis: () => 1,
     homes,
     isAllowed: () => true,
-    warmupRatePerSecond: () => 0,
+    warmupShare: () => ({ perSecond: 0, burst: 1 }),
+    limitShare: () => ({ perSecond: Infinity, burst: 1 }),
     exclude: new Set(),
   });
 }
--- a/packages/steering/src/member_view.ts
+++ b/packages/steering/src/member_view.ts
@@ -173,6 +173,13 @@
     );
   }
 
+  /** True if the entry is live and accepts callers. */
+  isServing(id: string, nowMillis: number): boolean {
+    const member = this.#members.get(id);
+    return member !== undefined && member.serving &&
+      nowMillis < member.liveUntilMillis;
+  }
+
   /** Ids of the known entries of a region, live or not. */
   idsInRegion(region: string): string[] {
     return this.all()
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -8,6 +8,7 @@
  * overflow to other targets when there is none.
  */
 import type { ObjectHomes } from "./object_homes.ts";
+import type { RateShare } from "./rate_limiter.ts";
 import type { WorkTimeEstimate } from "./work_time_estimate.ts";
 import type { TargetState } from "./target_state.ts";
 
@@ -27,8 +28,10 @@
   homes: ObjectHomes;
   /** False if the request must not run on the target at all. */
   isAllowed: (target: TargetState) => boolean;
-  /** Requests per second that this entry may send to a cold target; 0 for none. */
-  warmupRatePerSecond: (target: TargetState) => number;
+  /** This entry's part of the rate of a cold target. */
+  warmupShare: (target: TargetState) => RateShare;
+  /** This entry's part of a target's request limit. */
+  limitShare: (target: TargetState) => RateShare;
   /** Ids of the targets that were tried already. */
   exclude: ReadonlySet<string>;
 }
@@ -80,13 +83,30 @@
 const COLD_WORK_FACTOR = 2;
 
 /**
- * True if at least one of the object's homes is neither paused nor cold and has
- * not been tried yet; it may be full.
+ * Time from which this entry's rates for a target that is cold, or names a limit,
+ * allow another request; Infinity if they never do.
  */
-function hasUsableHome({ homes, nowMillis, exclude }: PlacementInput) {
+function rateReadyAtMillis(target: TargetState, input: PlacementInput): number {
+  const { nowMillis } = input;
+  const warmupReadyAtMillis = target.isCold(nowMillis)
+    ? target.warmupLimiter.readyAtMillis(nowMillis, input.warmupShare(target))
+    : nowMillis;
+  const limitReadyAtMillis = target.isLimited
+    ? target.limitLimiter.readyAtMillis(nowMillis, input.limitShare(target))
+    : nowMillis;
+  return Math.max(warmupReadyAtMillis, limitReadyAtMillis);
+}
+
+/**
+ * True if at least one of the object's homes is neither paused nor cold, has not
+ * been tried yet, and takes a request within its limit; it may be full.
+ */
+function hasUsableHome(input: PlacementInput): boolean {
+  const { homes, nowMillis, exclude } = input;
   return [homes.first, homes.second].some((home) =>
     home !== undefined && !home.isPaused(nowMillis) &&
-    !home.isCold(nowMillis) && !exclude.has(home.record.id)
+    !home.isCold(nowMillis) && !exclude.has(home.record.id) &&
+    rateReadyAtMillis(home, input) <= nowMillis
   );
 }
 
@@ -131,17 +151,15 @@
       usableAtMillis = Math.min(usableAtMillis, target.pausedUntilMillis);
       continue;
     }
-    const cold = target.isCold(nowMillis);
-    if (cold) {
-      const perSecond = input.warmupRatePerSecond(target);
-      if (perSecond <= 0) continue;
-      if (!target.warmupLimiter.allows(nowMillis, { perSecond })) {
-        usableAtMillis = Math.min(usableAtMillis, nowMillis + 1000 / perSecond);
-        continue;
-      }
+    const readyAtMillis = rateReadyAtMillis(target, input);
+    if (readyAtMillis > nowMillis) {
+      usableAtMillis = Math.min(usableAtMillis, readyAtMillis);
+      continue;
     }
+    const cold = target.isCold(nowMillis);
     const isHome = target === homes.first || target === homes.second;
-    if (homesOnly && !isHome) continue;
+    // A limit binds before the slots do, so a miss in the cache costs no capacity.
+    if (homesOnly && !isHome && !target.isLimited) continue;
     const inFlight = target.inFlight(nowMillis);
     slots += target.record.slots;
     // Requests that have to end before this one gets a slot.
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -2,7 +2,7 @@
  * One entry's estimate of the state of a target: record, load, speed and
  * health. Free of side effects: observations and the time are passed in.
  */
-import { WarmupLimiter } from "./warmup_limiter.ts";
+import { RateLimiter } from "./rate_limiter.ts";
 import { MovingAverage } from "./moving_average.ts";
 import { RequestLimit } from "./request_limit.ts";
 import type { TargetRecord } from "./steering_config.ts";
@@ -59,9 +59,12 @@
   readonly #failureRate = new MovingAverage(FAILURE_SAMPLE_WEIGHT, 0);
   #slowdownFactor = 1;
   readonly #recentObjects = new Map<string, number>();
-  readonly #warmupLimiter = new WarmupLimiter();
+  /** Rate of this entry while the target is cold. */
+  readonly warmupLimiter = new RateLimiter();
   /** Limit that the target names in its answers. */
   readonly requestLimit = new RequestLimit();
+  /** Rate of this entry while the target names a limit. */
+  readonly limitLimiter = new RateLimiter();
   #coldUntilMillis: number;
   #pausedUntilMillis = 0;
   #connectFailures = 0;
@@ -116,10 +119,6 @@
     return nowMillis < this.#coldUntilMillis;
   }
 
-  get warmupLimiter(): WarmupLimiter {
-    return this.#warmupLimiter;
-  }
-
   isPaused(nowMillis: number): boolean {
     return nowMillis < this.#pausedUntilMillis;
   }
@@ -139,6 +138,21 @@
     return this.#slowdownFactor;
   }
 
+  /** True while the target names a request limit. */
+  get isLimited(): boolean {
+    return this.requestLimit.perSecond !== undefined;
+  }
+
+  /**
+   * Slots that requests can keep busy: fewer than the target has if its limit
+   * admits fewer requests than the slots could run.
+   */
+  usableSlots(workMillis: number): number {
+    const { perSecond } = this.requestLimit;
+    if (perSecond === undefined) return this.record.slots;
+    return Math.min(this.record.slots, perSecond * workMillis / 1000);
+  }
+
   /**
    * Requests at the target from all entries. For those of other entries, the
    * higher of the target's last load report and the entries' own reports counts.
@@ -167,6 +181,8 @@
 
   recordSend(object: string | undefined, nowMillis: number): void {
     this.ownInFlight++;
+    if (this.isCold(nowMillis)) this.warmupLimiter.take();
+    if (this.isLimited) this.limitLimiter.take();
     if (object === undefined) return;
     this.#recentObjects.delete(object);
     this.#recentObjects.set(object, nowMillis);
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -30,6 +30,8 @@
   #oldestVersion = 0;
   /** Clients for which the store is unavailable. */
   readonly #down = new Set<string>();
+  /** Tables that can't be read as a whole. */
+  readonly unreadableTables = new Set<StateTable>();
   /** Number of open watches by client. */
   readonly #openWatches = new Map<string, number>();
 
@@ -69,6 +71,9 @@
       read: (table): Promise<TableSnapshot> => {
         return toPromise(() => {
           assertAvailable();
+          if (this.unreadableTables.has(table)) {
+            throw new StoreError("busy", "table unavailable");
+          }
           return {
             rows: this.#rowsChangedAfter(table, 0).filter(exists),
             version: this.#version,
