Send nothing to cold targets before the other entries are known

An entry that had not read the list of entries yet took itself for the only one and used a cold target's whole rate; entries that start together, as after a kill of all, each did. Change: no part of a cold target's rate until the list is read.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -148,6 +148,13 @@
     Then "e1" answers 200 to "/read/x" within 1 s
     And "t1" receives at most 20 requests while 10 callers of "e1" send one after another for 400 ms
 
+  Scenario: An entry that doesn't know the others yet sends nothing to a cold target
+    Given a target "t1" that answers
+    And 4 entries that start together and can't read the list of entries
+    When "t1" becomes cold
+    And 3 callers of each entry send one after another for 2 s
+    Then "t1" received 0 requests
+
   Scenario: A route uses only targets in its allowed regions
     Given a target "t1" in data centre "b1" that answers
     And an entry "e1"
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -186,7 +186,7 @@
    */
   warmupShare(target: TargetState): RateShare {
     const { region, id } = this.#settings.instance;
-    if (this.region(target) !== region) {
+    if (this.region(target) !== region || !this.members.isComplete) {
       return NO_RATE_SHARE;
     }
     const { local } = this.#senderRanking(target);
