Don't take a late copy of a refusal for proof that a request did not run

Callers were told 503, "not run", about a request that ran: on a connection in use again, a target's late copy of the refusal of an earlier request was read as the refusal of this one. An at-most-once request was then sent to another target or by its caller again, and ran twice. Load and limit of the copy were taken for current ones too. Cause: only the status of a success was checked against the answer's request id; a refusal proved "not run" whatever request it named. Change: an answer that names another request ends the attempt as lost, before anything in it is used, and its connection is closed.

--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -20,6 +20,12 @@
   type Reply,
   world,
 } from "./support/scenario.ts";
+import { FAULTY_SCRIPTS } from "./support/faulty_targets.ts";
+import {
+  answerValidly,
+  bodyOf,
+  signedHeaders,
+} from "./support/target_answers.ts";
 import { testConfig, TestGateway, until } from "./support/test_gateway.ts";
 
 let pipelinedText = "";
@@ -35,23 +41,8 @@
   await world.system?.close();
 });
 
-function bodyOf(received: ReceivedRequest): string {
-  return `body of ${received.headers["test-request"]}`;
-}
-
-function signedHeaders(received: ReceivedRequest): Record<string, string> {
-  return {
-    "Test-Request": received.headers["test-request"],
-    "Test-Signature": "valid",
-    "Test-Load": "1,0,3",
-  };
-}
-
-function answerValidly(received: ReceivedRequest, socket: Socket): void {
-  socket.write(formatResponse(200, signedHeaders(received), bodyOf(received)));
-}
-
 const SCRIPTS: Record<string, Script> = {
+  ...FAULTY_SCRIPTS,
   "answers": answerValidly,
   "closes without an answer": (_received, socket) => {
     socket.destroy();
--- /dev/null
+++ b/packages/gateway/features/support/faulty_targets.ts
@@ -0,0 +1,155 @@
+/**
+ * Scripts of targets whose answers come late, twice, without end, or broken off.
+ */
+import type { Socket } from "node:net";
+import {
+  formatResponse,
+  type ReceivedRequest,
+  type Script,
+} from "@bamboolane/standins/scripted_target";
+import { pause } from "./scenario.ts";
+import { answerValidly, bodyOf, signedHeaders } from "./target_answers.ts";
+
+/** Time that the target works on a request whose answer follows a late copy. */
+const WORK_MILLIS = 50;
+const ENDLESS_LENGTH = "Content-Length: 9000000000";
+
+/** Bytes that targets wrote in answers without end, since the start of the scenario. */
+export const endless = { bytes: 0 };
+
+let previousAnswer = "";
+
+/** Forgets what targets of earlier scenarios sent. */
+export function resetFaultyTargets(): void {
+  previousAnswer = "";
+  endless.bytes = 0;
+}
+
+function refusalHeaders(received: ReceivedRequest): Record<string, string> {
+  return {
+    "Test-Request": received.headers["test-request"],
+    "Test-Not-Run": "1",
+  };
+}
+
+/** Sends the first answer again when the second request arrives, before its answer. */
+function answerWithLateCopies(
+  formatAnswer: (received: ReceivedRequest) => string,
+): Script {
+  return async (received, socket) => {
+    if (previousAnswer === "") {
+      previousAnswer = formatAnswer(received);
+      socket.write(previousAnswer);
+      return;
+    }
+    socket.write(previousAnswer);
+    await pause(WORK_MILLIS);
+    answerValidly(received, socket);
+  };
+}
+
+/** Writes until the other side closes the connection. */
+async function sendEndlessly(
+  socket: Socket,
+  parts: { start: string; repeated: string },
+): Promise<void> {
+  socket.write(parts.start);
+  while (!socket.destroyed) {
+    endless.bytes += parts.repeated.length;
+    if (!socket.write(parts.repeated)) {
+      await new Promise<void>((resolve) => {
+        socket.once("drain", resolve);
+        socket.once("close", () => resolve());
+      });
+    }
+    await pause(1);
+  }
+}
+
+function sendBodyEndlessly(
+  socket: Socket,
+  head: { status: number; headers: Record<string, string> },
+): Promise<void> {
+  return sendEndlessly(socket, {
+    start: formatResponse(head.status, head.headers, "").replace(
+      "Content-Length: 0",
+      ENDLESS_LENGTH,
+    ),
+    repeated: "x".repeat(65_536),
+  });
+}
+
+/** Scripts by the phrase that features use for them. */
+export const FAULTY_SCRIPTS: Record<string, Script> = {
+  "sends a late copy of each refusal before the next answer":
+    answerWithLateCopies((received) =>
+      formatResponse(503, refusalHeaders(received), "")
+    ),
+  "sends a late copy of each answer before the next answer":
+    answerWithLateCopies((received) =>
+      formatResponse(200, signedHeaders(received), bodyOf(received))
+    ),
+  "sends an unsigned answer without end": (received, socket) => {
+    const { "Test-Signature": _signature, ...headers } = signedHeaders(
+      received,
+    );
+    return sendBodyEndlessly(socket, { status: 200, headers });
+  },
+  "sends a refusal without end": (received, socket) =>
+    sendBodyEndlessly(socket, {
+      status: 503,
+      headers: refusalHeaders(received),
+    }),
+  "sends a refusal but not its body": (received, socket) => {
+    const refusal = formatResponse(503, refusalHeaders(received), "");
+    socket.write(refusal.replace("Content-Length: 0", "Content-Length: 9"));
+  },
+  "sends a refusal and resets in its body": (received, socket) => {
+    const refusal = formatResponse(503, refusalHeaders(received), "");
+    socket.write(
+      refusal.replace("Content-Length: 0", "Content-Length: 9"),
+      () => setTimeout(() => socket.resetAndDestroy(), 20),
+    );
+  },
+  "sends a header without end": (_received, socket) =>
+    sendEndlessly(socket, {
+      start: "HTTP/1.1 200 OK\r\nTest-Filler: ",
+      repeated: "x".repeat(16_384),
+    }),
+  "sends headers without end": (_received, socket) =>
+    sendEndlessly(socket, {
+      start: "HTTP/1.1 200 OK\r\n",
+      repeated: "Test-Filler: x\r\n".repeat(1000),
+    }),
+  "sends a status line without end": (_received, socket) =>
+    sendEndlessly(socket, {
+      start: "HTTP/1.1 200 ",
+      repeated: "x".repeat(16_384),
+    }),
+  "sends informational answers without end": (_received, socket) =>
+    sendEndlessly(socket, {
+      start: "",
+      repeated: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(500),
+    }),
+  "sends blank lines without end": (_received, socket) =>
+    sendEndlessly(socket, { start: "", repeated: "\r\n".repeat(8192) }),
+  "sends a valid answer without end": (received, socket) =>
+    sendBodyEndlessly(socket, {
+      status: 200,
+      headers: signedHeaders(received),
+    }),
+  "sends half an answer in another transfer coding and closes": (
+    received,
+    socket,
+  ) => {
+    const answer = formatResponse(
+      200,
+      { ...signedHeaders(received), "Transfer-Encoding": "identity" },
+      "",
+    ).replace("Content-Length: 0\r\n", "");
+    socket.write(
+      answer + bodyOf(received).slice(0, -3),
+      () => socket.resetAndDestroy(),
+    );
+  },
+};
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -175,6 +175,13 @@
     if (!this.#framed) this.#options.connection.expectClose();
     this.#closesConnection =
       headersByName.get("connection")?.toLowerCase() === "close";
+    if (!this.#answersThisRequest(headersByName)) {
+      return this.#end({
+        kind: "lost",
+        reason: "other-request",
+        corrupt: true,
+      });
+    }
     this.#notRun = headersByName.has(dialect.notRunHeader) ||
       status === dialect.misdirectedStatus;
     this.#corruption = this.#findCorruption(headersByName);
@@ -269,11 +276,15 @@
     this.#end({ kind: "lost", reason, corrupt: false });
   }
 
+  /** False if the answer names another request, as a late copy of its answer does. */
+  #answersThisRequest(headers: ReadonlyMap<string, string>): boolean {
+    const id = headers.get(this.#options.dialect.requestIdHeader);
+    return id === undefined || id === this.#request.id;
+  }
+
   /** Returns the reason why an answer is corrupt; empty for a valid one. */
   #findCorruption(headers: ReadonlyMap<string, string>): string {
     const { dialect } = this.#options;
-    const id = headers.get(dialect.requestIdHeader);
-    if (id !== undefined && id !== this.#request.id) return "other-request";
     const encoding = headers.get("content-encoding");
     if (encoding !== undefined && encoding.toLowerCase() !== "identity") {
       return "encoded";
