Give up answers without end early

Targets in trouble may send bytes that are no answer without end, in a head or a body. Callers waited for the route's timeout; the entry kept the whole body of an unsigned answer or a refusal in memory until then, and read endless status lines, informational answers and blank lines at full speed. Cause: answers that must not be forwarded were buffered without a bound until they were complete, and the parser bounds the size of headers only. Change: what the head decides is decided at the head: a corrupt answer ends the attempt; a refusal counts at once, and its body is read only if it is short and comes soon, so that the connection can be reused. A connection that sends more than 64 kB before a head is complete is closed.

--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -17,3 +17,31 @@
       | kind    |
       | answer  |
       | refusal |
+
+  Scenario Outline: An answer without end is given up early, without buffering it
+    Given a target "t1" that <flaw>
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is <status> within 1000 ms, after at most 8000 kB from the target
+    And a connection to the targets was closed
+
+    Examples:
+      | flaw                                    | status |
+      | sends an unsigned answer without end    | 502    |
+      | sends a refusal without end             | 503    |
+      | sends a header without end              | 502    |
+      | sends headers without end               | 502    |
+      | sends a status line without end         | 502    |
+      | sends informational answers without end | 502    |
+      | sends blank lines without end           | 502    |
+
+  Scenario Outline: A refusal whose body is not complete still proves that the request did not run
+    Given a target "t1" that <flaw>
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 503 within 1000 ms, after at most 0 kB from the target
+
+    Examples:
+      | flaw                                   |
+      | sends a refusal but not its body       |
+      | sends a refusal and resets in its body |
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -10,6 +10,12 @@
 
 /** Answers up to this size are buffered until they are complete; larger ones are streamed. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
+/**
+ * A refusal is known from its head. Its body is read only so that the connection
+ * can be reused, unless it is longer than this or takes longer than that.
+ */
+const MAX_REFUSAL_BYTES = 16_384;
+const REFUSAL_BODY_TIMEOUT_MILLIS = 100;
 
 /** Result of one attempt. */
 export type AttemptEnd =
@@ -22,8 +28,8 @@
   /** No connection could be made; nothing was sent. */
   | { kind: "unreachable"; reason: string }
   /**
-   * Sent, but without a valid answer; the request may have run. `corrupt` if a
-   * complete answer arrived that must not be forwarded.
+   * Sent, but without a valid answer; the request may have run. `corrupt` if an
+   * answer arrived that must not be forwarded.
    */
   | { kind: "lost"; reason: string; corrupt: boolean };
 
@@ -119,8 +125,7 @@
   #headers: string[] = [];
   #notRun = false;
   #closesConnection = false;
-  /** Why the answer is corrupt; empty for a valid one. */
-  #corruption = "";
+  #refusalTimer: NodeJS.Timeout | undefined;
   #chunks: Buffer[] = [];
   #size = 0;
   #streaming = false;
@@ -132,6 +137,7 @@
     this.#request = request;
     this.#options = options;
     const { dialect } = options;
+    options.connection.expectHead();
     options.connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -149,8 +155,10 @@
   abort(reason: string): void {
     if (this.#ended) return;
     this.#ended = true;
+    clearTimeout(this.#refusalTimer);
     this.#controller?.abort(new Error(reason));
     this.#options.connection.close();
+    if (this.#streaming) this.#request.sink.cut();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -163,7 +171,8 @@
     status: number,
   ): void {
     if (status < 200 || this.#ended) return;
-    const { dialect } = this.#options;
+    const { connection, dialect, onHead } = this.#options;
+    connection.headReceived();
     this.#status = status;
     const raw = textHeaders(controller.rawHeaders);
     const headersByName = new Map<string, string>();
@@ -172,7 +181,7 @@
     }
     this.#framed = headersByName.has("content-length") ||
       headersByName.has("transfer-encoding") || BODILESS_STATUSES.has(status);
-    if (!this.#framed) this.#options.connection.expectClose();
+    if (!this.#framed) connection.expectClose();
     this.#closesConnection =
       headersByName.get("connection")?.toLowerCase() === "close";
     if (!this.#answersThisRequest(headersByName)) {
@@ -184,13 +193,23 @@
     }
     this.#notRun = headersByName.has(dialect.notRunHeader) ||
       status === dialect.misdirectedStatus;
-    this.#corruption = this.#findCorruption(headersByName);
-    this.#options.onHead({
+    onHead({
       status,
       notRun: this.#notRun,
       load: headersByName.get(dialect.loadHeader),
       limit: headersByName.get(dialect.limitHeader),
     });
+    if (this.#notRun) {
+      this.#refusalTimer = setTimeout(
+        () => this.#endUnfinishedRefusal(),
+        REFUSAL_BODY_TIMEOUT_MILLIS,
+      );
+      return;
+    }
+    const corruption = this.#findCorruption(headersByName);
+    if (corruption) {
+      return this.#end({ kind: "lost", reason: corruption, corrupt: true });
+    }
     this.#headers = endToEndHeaders(
       raw,
       new Set([dialect.loadHeader, dialect.limitHeader]),
@@ -203,14 +222,13 @@
   ): void {
     if (this.#ended) return;
     if (this.#streaming) return this.#forwardChunk(controller, chunk);
-    this.#chunks.push(chunk);
     this.#size += chunk.byteLength;
-    if (
-      this.#size > MAX_BUFFERED_ANSWER_BYTES && !this.#corruption &&
-      !this.#notRun
-    ) {
-      this.#startStream(controller);
+    if (this.#notRun) {
+      if (this.#size > MAX_REFUSAL_BYTES) this.#endUnfinishedRefusal();
+      return;
     }
+    this.#chunks.push(chunk);
+    if (this.#size > MAX_BUFFERED_ANSWER_BYTES) this.#startStream(controller);
   }
 
   onResponseEnd(): void {
@@ -232,13 +250,6 @@
         closesConnection,
       });
     }
-    if (this.#corruption) {
-      return this.#end({
-        kind: "lost",
-        reason: this.#corruption,
-        corrupt: true,
-      });
-    }
     if (this.#streaming) {
       this.#request.sink.end();
       return this.#end({ kind: "streamed", closesConnection });
@@ -266,6 +277,7 @@
    * answer was complete.
    */
   #cut(reason: string): void {
+    if (this.#notRun) return this.#endUnfinishedRefusal();
     if (this.#streaming) {
       this.#request.sink.cut();
       return this.#end({ kind: "stream-cut", reason });
@@ -276,6 +288,15 @@
     this.#end({ kind: "lost", reason, corrupt: false });
   }
 
+  /** Ends an attempt that the target refused; the rest of its answer is not read. */
+  #endUnfinishedRefusal(): void {
+    this.#end({
+      kind: "not-run",
+      status: this.#status,
+      closesConnection: true,
+    });
+  }
+
   /** False if the answer names another request, as a late copy of its answer does. */
   #answersThisRequest(headers: ReadonlyMap<string, string>): boolean {
     const id = headers.get(this.#options.dialect.requestIdHeader);
@@ -317,6 +338,7 @@
 
   #end(end: AttemptEnd): void {
     this.#ended = true;
+    clearTimeout(this.#refusalTimer);
     this.#options.onEnd(end);
   }
 }
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -29,6 +29,13 @@
 /** Timeout of the check whether a target's port is closed. */
 const PORT_CHECK_TIMEOUT_MILLIS = 300;
 
+/**
+ * Bytes that a target may send until the head of an answer is complete. The
+ * parser bounds the size of the headers, but not a status line, informational
+ * answers or blank lines.
+ */
+const MAX_HEAD_BYTES = 65_536;
+
 const connectTarget = buildConnector({ timeout: CONNECT_TIMEOUT_MILLIS });
 
 /**
@@ -59,6 +66,38 @@
   }
 }
 
+/**
+ * Closes a connection whose target sends too much before the head of an answer
+ * is complete.
+ */
+class HeadGuard {
+  #socket: Socket | undefined;
+  /** Bytes that the parser had read when the head was first expected; undefined if none is. */
+  #readBefore: number | undefined;
+
+  watch(socket: Socket): void {
+    this.#socket = socket;
+    // Runs before the parser reads what is new.
+    socket.prependListener("readable", () => {
+      if (this.#readBefore === undefined) return;
+      if (bytesParsed(socket) - this.#readBefore <= MAX_HEAD_BYTES) return;
+      socket.destroy(new Error("head of the answer is too long"));
+    });
+  }
+
+  expectHead(): void {
+    this.#readBefore = this.#socket ? bytesParsed(this.#socket) : 0;
+  }
+
+  headReceived(): void {
+    this.#readBefore = undefined;
+  }
+}
+
+function bytesParsed(socket: Socket): number {
+  return socket.bytesRead - socket.readableLength;
+}
+
 /** One connection with its state. */
 export class TargetConnection {
   readonly client: Client;
@@ -68,6 +107,7 @@
   /** Idle time before the current request; 0 for the first request. */
   idleBeforeMillis = 0;
   readonly #closeProbe = new CloseProbe();
+  readonly #headGuard = new HeadGuard();
 
   constructor(
     address: string,
@@ -79,6 +119,7 @@
         connectTarget(target, (error, socket) => {
           if (error) return done(error, null);
           this.#closeProbe.watch(socket);
+          this.#headGuard.watch(socket);
           done(null, socket);
         }),
       headersTimeout: 0,
@@ -94,6 +135,15 @@
     this.client.on("connectionError", options.onClosed);
   }
 
+  /** Announces that a request is sent, so that the size of its answer's head is bounded. */
+  expectHead(): void {
+    this.#headGuard.expectHead();
+  }
+
+  headReceived(): void {
+    this.#headGuard.headReceived();
+  }
+
   /**
    * Announces that the current answer ends with the connection, so that its
    * close is checked.
