Accept no unnamed answer on a connection that was used before

A late copy of an earlier answer that names no request was taken for the answer to the next one on its connection; as a refusal it told an at-most-once caller "not run" about a request that ran. Cause: an answer without a request id counted as the own one. Change: without an id, only the first answer on a connection is accepted. Result: the scenario failed before (503 in place of 502) and passes.

--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -18,6 +18,13 @@
       | answer  |
       | refusal |
 
+  Scenario: An answer that names no request is not accepted on a connection that was used before
+    Given a target "t1" that sends a late copy of each unnamed refusal before the next answer
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x" 2 times with a pause of 150 ms
+    Then the answer is 502
+    And the targets received at most 2 requests
+
   Scenario Outline: An answer without end is given up early, without buffering it
     Given a target "t1" that <flaw>
     And an entry "e1"
--- a/packages/gateway/features/support/faulty_targets.ts
+++ b/packages/gateway/features/support/faulty_targets.ts
@@ -12,6 +12,8 @@
 
 /** Time that the target works on a request whose answer follows a late copy. */
 const WORK_MILLIS = 50;
+/** More than an entry buffers. */
+const LONG_ANSWER_BYTES = 400_000;
 const ENDLESS_LENGTH = "Content-Length: 9000000000";
 
 /** Bytes that targets wrote in answers without end, since the start of the scenario. */
@@ -79,12 +81,33 @@
   });
 }
 
+/** Sends an answer without its end; chunks are sent as one of 8 bytes. */
+function sendHalf(
+  received: ReceivedRequest,
+  socket: Socket,
+  options: { framing: string; resets?: boolean },
+): void {
+  const head = formatResponse(200, signedHeaders(received), "")
+    .replace("Content-Length: 0", options.framing);
+  const body = options.framing.endsWith("chunked")
+    ? "8\r\n12345678\r\n"
+    : "12345678";
+  socket.write(head + body, () => {
+    if (options.resets) socket.resetAndDestroy();
+    else socket.end();
+  });
+}
+
 /** Scripts by the phrase that features use for them. */
 export const FAULTY_SCRIPTS: Record<string, Script> = {
   "sends a late copy of each refusal before the next answer":
     answerWithLateCopies((received) =>
       formatResponse(503, refusalHeaders(received), "")
     ),
+  "sends a late copy of each unnamed refusal before the next answer":
+    answerWithLateCopies(() =>
+      formatResponse(503, { "Test-Not-Run": "1" }, "")
+    ),
   "sends a late copy of each answer before the next answer":
     answerWithLateCopies((received) =>
       formatResponse(200, signedHeaders(received), bodyOf(received))
@@ -133,23 +156,25 @@
     }),
   "sends blank lines without end": (_received, socket) =>
     sendEndlessly(socket, { start: "", repeated: "\r\n".repeat(8192) }),
+  "sends a long 503 after running": (received, socket) => {
+    const body = "x".repeat(LONG_ANSWER_BYTES);
+    socket.write(formatResponse(503, signedHeaders(received), body));
+  },
   "sends a valid answer without end": (received, socket) =>
     sendBodyEndlessly(socket, {
       status: 200,
       headers: signedHeaders(received),
     }),
-  "sends half an answer in another transfer coding and closes": (
+  "sends half an answer in another transfer coding and resets": (
     received,
     socket,
-  ) => {
-    const answer = formatResponse(
-      200,
-      { ...signedHeaders(received), "Transfer-Encoding": "identity" },
-      "",
-    ).replace("Content-Length: 0\r\n", "");
-    socket.write(
-      answer + bodyOf(received).slice(0, -3),
-      () => socket.resetAndDestroy(),
-    );
-  },
+  ) =>
+    sendHalf(received, socket, {
+      framing: "Transfer-Encoding: identity",
+      resets: true,
+    }),
+  "sends half an answer in chunks and closes": (received, socket) =>
+    sendHalf(received, socket, { framing: "Transfer-Encoding: chunked" }),
+  "sends half an answer with a length and closes": (received, socket) =>
+    sendHalf(received, socket, { framing: "Content-Length: 100" }),
 };
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -297,10 +297,14 @@
     });
   }
 
-  /** False if the answer names another request, as a late copy of its answer does. */
+  /**
+   * False if the answer may be a late copy of another request's: it names that
+   * one, or none on a connection that was used before.
+   */
   #answersThisRequest(headers: ReadonlyMap<string, string>): boolean {
-    const id = headers.get(this.#options.dialect.requestIdHeader);
-    return id === undefined || id === this.#request.id;
+    const { connection, dialect } = this.#options;
+    const id = headers.get(dialect.requestIdHeader);
+    return id === undefined ? !connection.isReused : id === this.#request.id;
   }
 
   /** Returns the reason why an answer is corrupt; empty for a valid one. */
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -135,6 +135,11 @@
     this.client.on("connectionError", options.onClosed);
   }
 
+  /** True if the connection carried a request before the current one. */
+  get isReused(): boolean {
+    return this.lastUsedAtMillis > 0;
+  }
+
   /** Announces that a request is sent, so that the size of its answer's head is bounded. */
   expectHead(): void {
     this.#headGuard.expectHead();
