Don't let an answer without chunks or length look complete when it breaks off

An answer that broke off halfway reached the caller as a complete success in two ways: a caller of HTTP/1.0 saw a plain end of the connection, and an answer in another transfer coding than chunks, which ends with its connection, wasn't checked for a reset. Cause: a cut closed the connection with a plain end, which tells only callers that read chunks that something is missing; any transfer coding counted as framing. Change: a cut answer without chunks resets the caller's connection; only chunks count as framing, and other transfer codings are corrupt. Result: both scenarios failed before (plain end; 200 in place of 502) and pass; answers cut within a chunk or a length were recognised before too.

--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -52,3 +52,21 @@
       | flaw                                   |
       | sends a refusal but not its body       |
       | sends a refusal and resets in its body |
+
+  Scenario: An answer that breaks off doesn't look complete to a caller of HTTP/1.0
+    Given a target "t1" that sends 400 kB slowly and resets at the end
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" by HTTP/1.0
+    Then the caller's connection was reset
+
+  Scenario Outline: An answer of unusual framing that breaks off is never forwarded as a success
+    Given a target "t1" that <flaw>
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+
+    Examples:
+      | flaw                                                         |
+      | sends half an answer in another transfer coding and resets   |
+      | sends half an answer in chunks and closes                    |
+      | sends half an answer with a length and closes                |
--- a/packages/gateway/src/answer_caller.ts
+++ b/packages/gateway/src/answer_caller.ts
@@ -79,7 +79,10 @@
   }
 
   cut(): void {
-    this.#response.destroy();
+    const { socket } = this.#response;
+    // Without chunks, the end of the connection is the end of the answer.
+    if (socket && !this.#response.chunkedEncoding) socket.resetAndDestroy();
+    else this.#response.destroy();
   }
 
   answerLocally(answer: LocalAnswer): void {
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -180,7 +180,7 @@
       headersByName.set(raw[i].toLowerCase(), raw[i + 1]);
     }
     this.#framed = headersByName.has("content-length") ||
-      headersByName.has("transfer-encoding") || BODILESS_STATUSES.has(status);
+      isChunked(headersByName) || BODILESS_STATUSES.has(status);
     if (!this.#framed) connection.expectClose();
     this.#closesConnection =
       headersByName.get("connection")?.toLowerCase() === "close";
@@ -310,9 +310,10 @@
   /** Returns the reason why an answer is corrupt; empty for a valid one. */
   #findCorruption(headers: ReadonlyMap<string, string>): string {
     const { dialect } = this.#options;
-    const encoding = headers.get("content-encoding");
-    if (encoding !== undefined && encoding.toLowerCase() !== "identity") {
-      return "encoded";
+    const encoding = headers.get("content-encoding") ?? "identity";
+    if (encoding.toLowerCase() !== "identity") return "encoded";
+    if (headers.has("transfer-encoding") && !isChunked(headers)) {
+      return "transfer-coded";
     }
     const success = this.#status >= 200 && this.#status < 300;
     if (success && !headers.has(dialect.signatureHeader)) return "unsigned";
@@ -355,3 +356,8 @@
     typeof item === "string" ? item : item.toString("latin1")
   );
 }
+/** True if the answer is sent in chunks, and in no other transfer coding. */
+function isChunked(headers: ReadonlyMap<string, string>): boolean {
+  return headers.get("transfer-encoding")?.toLowerCase() === "chunked";
+}
+
