Cut a streamed answer at the route's timeout

A caller whose answer was streamed and not complete at the route's timeout kept waiting on an open answer, also for a target that sends without end; a planned stop waited for such answers until its grace period ended. Cause: an expiry aborted the attempt, but nobody ended the answer that was already under way.

--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -53,6 +53,19 @@
       | sends a refusal but not its body       |
       | sends a refusal and resets in its body |
 
+  Scenario: A streamed answer that is not complete at the route's timeout is cut
+    Given a target "t1" that sends a valid answer without end
+    And an entry "e1"
+    When a caller of "e1" reads the answer to "/brief/x"
+    Then the answer breaks off with an error after at most 800 ms
+    And a connection to the targets was closed
+
+  Scenario: A stop cuts a streamed answer at the route's timeout
+    Given a target "t1" that sends a valid answer without end
+    And an entry "e1"
+    When a caller of "e1" reads the answer to "/brief/x" while "e1" stops
+    Then the answer breaks off with an error after at most 800 ms
+
   Scenario: An answer that breaks off doesn't look complete to a caller of HTTP/1.0
     Given a target "t1" that sends 400 kB slowly and resets at the end
     And an entry "e1"
--- a/packages/gateway/src/answer_caller.ts
+++ b/packages/gateway/src/answer_caller.ts
@@ -86,6 +86,7 @@
   }
 
   answerLocally(answer: LocalAnswer): void {
+    if (this.#response.headersSent) return;
     this.#beforeHead();
     writeLocalAnswer(this.#response, LOCAL_ANSWER_STATUS[answer.kind], {
       text: `${answer.kind}\n`,
