Don't stream a target's 503 that was run

A caller of an at-most-once request got 503, which promises "not run", about a request that a target ran and answered with a long 503 of its own. Cause: such statuses are replaced when a whole answer is forwarded, but an answer too long to be buffered was streamed with its status. Change: an answer with such a status is never streamed; the request fails. Result: the scenario fails without the check (503 in place of 502) and passes.

--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -53,6 +53,12 @@
       | sends a refusal but not its body       |
       | sends a refusal and resets in its body |
 
+  Scenario: A long 503 of a target that ran the request is not streamed as a refusal
+    Given a target "t1" that sends a long 503 after running
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+
   Scenario: A streamed answer that is not complete at the route's timeout is cut
     Given a target "t1" that sends a valid answer without end
     And an entry "e1"
--- a/packages/gateway/src/gateway_request.ts
+++ b/packages/gateway/src/gateway_request.ts
@@ -24,6 +24,14 @@
   body: Buffer;
 }
 
+/** Statuses that tell callers that the request did not run and never will. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  421,
+  429,
+  503,
+]);
+
 /** Writes the answer to the caller. */
 export interface AnswerSink {
   answer(answer: TargetAnswer): void;
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -14,7 +14,11 @@
 } from "@bamboolane/steering/target_state";
 import { AttemptRecorder } from "./attempt_recorder.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
-import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
+import {
+  type GatewayRequest,
+  type LocalAnswer,
+  NOT_RUN_STATUSES,
+} from "./gateway_request.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import {
@@ -341,7 +345,9 @@
     request: GatewayRequest,
     answer: { status: number; headers: string[]; body: Buffer },
   ): void {
-    if (!NOT_RUN_CODES.has(answer.status)) return request.sink.answer(answer);
+    if (!NOT_RUN_STATUSES.has(answer.status)) {
+      return request.sink.answer(answer);
+    }
     request.sink.answerLocally({
       kind: "failed",
       reason: `target-${answer.status}`,
@@ -448,6 +454,3 @@
   "EPIPE",
   "UND_ERR_SOCKET",
 ]);
-
-/** Statuses that tell callers that the request did not run and never will. */
-const NOT_RUN_CODES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,7 +5,11 @@
  */
 import type { Dispatcher } from "undici";
 import type { CallerDialect } from "./caller_dialect.ts";
-import type { GatewayRequest, TargetAnswer } from "./gateway_request.ts";
+import {
+  type GatewayRequest,
+  NOT_RUN_STATUSES,
+  type TargetAnswer,
+} from "./gateway_request.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Answers up to this size are buffered until they are complete; larger ones are streamed. */
@@ -321,6 +325,14 @@
   }
 
   #startStream(controller: Dispatcher.DispatchController): void {
+    if (NOT_RUN_STATUSES.has(this.#status)) {
+      // Callers would take the status for proof that the request did not run.
+      return this.#end({
+        kind: "lost",
+        reason: `target-${this.#status}`,
+        corrupt: true,
+      });
+    }
     this.#streaming = true;
     this.#request.sink.start(this.#status, this.#headers);
     for (const chunk of this.#chunks) this.#forwardChunk(controller, chunk);
@@ -348,6 +360,11 @@
   }
 }
 
+/** True if the answer is sent in chunks, and in no other transfer coding. */
+function isChunked(headers: ReadonlyMap<string, string>): boolean {
+  return headers.get("transfer-encoding")?.toLowerCase() === "chunked";
+}
+
 function textHeaders(
   raw: Dispatcher.DispatchController["rawHeaders"],
 ): string[] {
@@ -356,8 +373,3 @@
     typeof item === "string" ? item : item.toString("latin1")
   );
 }
-/** True if the answer is sent in chunks, and in no other transfer coding. */
-function isChunked(headers: ReadonlyMap<string, string>): boolean {
-  return headers.get("transfer-encoding")?.toLowerCase() === "chunked";
-}
-
