Answer requests that arrive while an entry stops

During a planned stop under load, requests that had just been sent or accepted were cut off without an answer: those on open connections that were idle for a moment, those whose head was half read, and first requests on connections that had just been accepted. Cause: a stop closed every connection without an incomplete answer at once, and ended as soon as no answer was incomplete; it didn't know of requests on their way. Rejections and other answers of the entry itself didn't announce the close. Change: open connections stay usable until the listener closes; each one's last answer announces the close.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -191,6 +191,29 @@
     When a caller of "e1" pipelines 3 requests and "e1" stops
     Then 3 answers arrive in order and only the last closes the connection
 
+  Scenario: A stop answers requests that arrive on open connections after it began
+    Given a target "t1" that answers after 40 ms
+    And an entry "e1"
+    When 20 callers of "e1" send one request after another on open connections, and "e1" stops after 300 ms
+    Then each request was answered, and each connection was closed after an answer that announced it
+
+  Scenario: A stop answers a request whose head arrives in two parts
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends half a head, and the rest 300 ms after "e1" began to stop
+    Then the caller got a 200 that closes the connection
+
+  Scenario: A stop answers the first request on a connection that was just accepted
+    Given a target "t1" that answers
+    And an entry "e1"
+    When callers of "e1" connect until it refuses connections, and each sends a request 50 ms later
+    Then each request was answered, and each connection was closed after an answer that announced it
+
+  Scenario: A stop announces the close of a connection with a rejection too
+    Given an entry "e1"
+    When a caller of "e1" gets "/nowhere/x" after "e1" began to stop
+    Then the answer is 404 and closes the connection
+
   Scenario: A newer configuration takes effect and an older one is ignored
     Given a target "t1" that answers
     And an entry "e1"
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -1,8 +1,9 @@
 /**
  * The HTTP server for callers. It checks requests against the configuration and
  * the limits in force, passes them to the runner, and closes connections
- * gracefully when the process stops: the last pending answer of a connection
- * announces the close, and idle connections are closed at once.
+ * gracefully when the process stops: callers may go on using open connections,
+ * and the last pending answer of each one announces its close. Connections that
+ * stay idle are closed together with the listener.
  */
 import {
   createServer,
@@ -24,6 +25,7 @@
   readHead,
 } from "./read_request.ts";
 import type { RequestRunner } from "./request_runner.ts";
+import { CallerConnection } from "./caller_connection.ts";
 import { catchUp, StallMonitor } from "./stall_monitor.ts";
 
 /** Options of {@link GatewayServer}. */
@@ -55,8 +57,7 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
-  /** Incomplete answers, by connection. */
-  readonly #pending = new Map<Socket, Set<ServerResponse>>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   readonly #stallMonitor = new StallMonitor();
   #stopping = false;
 
@@ -71,8 +72,8 @@
       headersTimeout: DEFAULT_LIMITS.headerTimeoutMillis,
     }, (request, response) => this.#handle(request, response));
     this.#server.on("connection", (socket: Socket) => {
-      this.#pending.set(socket, new Set());
-      socket.once("close", () => this.#pending.delete(socket));
+      this.#connections.set(socket, new CallerConnection(socket));
+      socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.on(
       "clientError",
@@ -94,28 +95,39 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMillis;
   }
 
-  /** Starts a graceful stop: each connection is closed with its last pending answer. */
+  /** Starts a graceful stop: from now on the last pending answer of each connection closes it. */
   beginStop(): void {
     this.#stopping = true;
-    for (const [socket, pending] of this.#pending) {
-      if (pending.size === 0) socket.end();
-      else markLastAnswer(pending);
+    for (const { pending } of this.#connections.values()) {
+      markLastAnswer(pending);
     }
   }
 
   /** Stops accepting connections and closes idle ones. */
-  closeListener(): void {
+  async closeListener(): Promise<void> {
+    // Accepts what is waiting: the system resets those connections otherwise.
+    await new Promise((resolve) => setImmediate(resolve));
+    const nowMillis = performance.now();
+    for (const [socket, connection] of this.#connections) {
+      if (!connection.isBusy(nowMillis)) socket.end();
+    }
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Number of incomplete answers. */
   get openAnswers(): number {
     let open = 0;
-    for (const pending of this.#pending.values()) open += pending.size;
+    for (const { pending } of this.#connections.values()) open += pending.size;
     return open;
   }
 
+  /** Number of connections with incomplete answers, or whose next request may be on its way. */
+  get busyConnections(): number {
+    const nowMillis = performance.now();
+    return [...this.#connections.values()]
+      .filter((connection) => connection.isBusy(nowMillis)).length;
+  }
+
   /** Closes all connections at once, without waiting for incomplete answers. */
   close(): void {
     this.#stallMonitor.stop();
@@ -128,11 +140,10 @@
   }
 
   #track(request: IncomingMessage, response: ServerResponse): void {
-    const pending = this.#pending.get(request.socket);
-    if (pending === undefined) return;
-    pending.add(response);
-    if (this.#stopping) markLastAnswer(pending);
-    response.once("close", () => pending.delete(response));
+    const connection = this.#connections.get(request.socket);
+    if (connection === undefined) return;
+    connection.track(request, response);
+    if (this.#stopping) markLastAnswer(connection.pending);
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
@@ -149,7 +160,7 @@
     }
     if (!state.isComplete) {
       log.info("request", { outcome: "refused", reason: "no-configuration" });
-      return writeLocalAnswer(response, 503, {
+      return writeOwnAnswer(response, 503, {
         text: "no configuration yet\n",
         retryAfterMillis: NO_CONFIG_RETRY_MILLIS,
       });
@@ -165,7 +176,7 @@
     }
     this.#accept(request, response, route).catch((error: Error) => {
       log.error("accept_failed", { error: error.message });
-      writeLocalAnswer(response, 500, { text: "internal\n" });
+      writeOwnAnswer(response, 500, { text: "internal\n" });
     });
   }
 
@@ -200,7 +211,7 @@
     const fingerprint = fingerprintOf(request, bodyResult.body);
     if (state.crashes.isHeldBack(fingerprint, arrivedAtMillis)) {
       log.warn("held_back", { request: head.id, fingerprint });
-      return writeLocalAnswer(response, 503, {
+      return writeOwnAnswer(response, 503, {
         text: "held back\n",
         retryAfterMillis: HELD_BACK_RETRY_MILLIS,
       });
@@ -232,11 +243,6 @@
       if (!response.writableFinished) runner.cancel(gatewayRequest);
     });
     runner.run(gatewayRequest);
-
-    /** Announces the close of the connection if this is its last answer. */
-    function announceClose(answer: ServerResponse): void {
-      if (closingAnswers.has(answer)) answer.setHeader("connection", "close");
-    }
   }
 
   #reject(
@@ -253,7 +259,7 @@
       reason: options.reason,
       revision: this.#options.state.config?.revision,
     });
-    writeLocalAnswer(response, options.status, { text: `${options.reason}\n` });
+    writeOwnAnswer(response, options.status, { text: `${options.reason}\n` });
   }
 
   /**
@@ -261,7 +267,7 @@
    * answers is closed instead: the rejection would be read as one of them.
    */
   #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    const busy = (this.#pending.get(socket)?.size ?? 0) > 0;
+    const busy = (this.#connections.get(socket)?.pending.size ?? 0) > 0;
     if (!socket.writable || busy || error.code === "ECONNRESET") {
       socket.destroy();
       return;
@@ -291,6 +297,21 @@
 /** Answers that close their connection. */
 const closingAnswers = new WeakSet<ServerResponse>();
 
+/** Announces the close of the connection if this is its last answer. */
+function announceClose(response: ServerResponse): void {
+  if (closingAnswers.has(response)) response.setHeader("connection", "close");
+}
+
+/** Answers without a target. */
+function writeOwnAnswer(
+  response: ServerResponse,
+  status: number,
+  options: { text: string; retryAfterMillis?: number },
+): void {
+  if (!response.headersSent) announceClose(response);
+  writeLocalAnswer(response, status, options);
+}
+
 /** Marks the last of a connection's pending answers: only that one may close it. */
 function markLastAnswer(pending: ReadonlySet<ServerResponse>): void {
   let last: ServerResponse | undefined;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -42,7 +42,7 @@
 const PEER_DISCOVERY_MILLIS = 700;
 /** Delay before a failed registration of this entry is retried. */
 const REGISTER_RETRY_MILLIS = 1000;
-/** How long a stopping entry accepts new connections; callers cache look-ups less long. */
+/** How long a stopping entry takes new requests; callers cache look-ups less long. */
 const LAME_DUCK_MILLIS = 2500;
 /** Part of the grace period that is reserved for sending the last answers. */
 const GRACE_MARGIN_MILLIS = 500;
@@ -188,8 +188,8 @@
     const deadlineMillis = stopAtMillis + settings.graceMillis -
       GRACE_MARGIN_MILLIS;
     await pause(Math.min(LAME_DUCK_MILLIS, settings.graceMillis / 2));
-    callers.closeListener();
-    while (callers.openAnswers > 0 && performance.now() < deadlineMillis) {
+    await callers.closeListener();
+    while (callers.busyConnections > 0 && performance.now() < deadlineMillis) {
       await pause(STATUS_POLL_MILLIS);
     }
     await Promise.race([unregistered, pause(GRACE_MARGIN_MILLIS / 2)]);
