--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -65,6 +65,8 @@
   readonly #settings: GatewaySettings;
   readonly #log: EventLog;
   readonly #evacuated = new Map<string, { version: number; active: boolean }>();
+  /** Version of the newest snapshot of the operator's rows. */
+  #operatorSnapshotVersion = 0;
   #config: SteeringConfig | undefined;
   #routes = new RouteIndex([]);
   #services = new Map<string, SteeringService>();
@@ -321,7 +323,9 @@
     nowMillis: number,
   ): void {
     const known = this.#evacuated.get(row.dataCentre);
-    if (known && known.version >= row.version) return;
+    // An evacuation that a newer snapshot lacks had ended by then.
+    const newest = known?.version ?? this.#operatorSnapshotVersion;
+    if (row.version <= newest) return;
     this.#evacuated.set(row.dataCentre, {
       version: row.version,
       active: row.active,
@@ -416,6 +420,10 @@
     for (const [dataCentre, known] of this.#evacuated) {
       if (!known.active || listed.has(dataCentre)) continue;
       if (known.version > options.version) continue;
+    this.#operatorSnapshotVersion = Math.max(
+      this.#operatorSnapshotVersion,
+      options.version,
+    );
       // Newer than the snapshot's rows, older than any later row: the store's
       // versions are whole numbers.
       this.#applyEvacuation({
--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -29,6 +29,11 @@
   Scenario: An older target row never replaces a newer one
     Then a target's rows applied in random order result in its newest state
 
+  Scenario: A row from before a snapshot doesn't bring back a target that the snapshot lacks
+    Given a registry that starts with a snapshot of version 9 without targets
+    When the row of a target with version 7 arrives
+    Then the target is no longer usable
+
   Scenario: A target whose record lapses during a store outage stays usable for two seconds
     Given a target whose record disappears right after the store recovers
     Then it stays usable for 2 seconds and is removed after that
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -317,6 +317,20 @@
   assert.equal(registry.get("t"), undefined);
 });
 
+const STORE_TIMES = { nowMillis: 0, storeRecoveredAtMillis: -Infinity };
+
+Given(
+  "a registry that starts with a snapshot of version {int} without targets",
+  (version: number) => {
+    registry = new TargetRegistry();
+    registry.retain(new Set(), { version, ...STORE_TIMES });
+  },
+);
+
+When("the row of a target with version {int} arrives", (version: number) => {
+  registry.apply({ id: "t", version, record: record("t") }, STORE_TIMES);
+});
+
 Then("the target is no longer usable", () => {
   assert.equal(registry.get("t"), undefined);
   assert.equal(registry.forService("s").length, 0);
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -31,6 +31,9 @@
 export class TargetRegistry {
   readonly #targets = new Map<string, TargetState>();
   readonly #byService = new Map<string, TargetState[]>();
+  /** Version of the newest snapshot: what it didn't list had been removed by then. */
+  #snapshotVersion = 0;
+  /** Removals since that snapshot. */
   readonly #removedAtVersion = new Map<string, number>();
   /** Ids of targets whose record is missing, with the end of their grace period. */
   readonly #lapsed = new Map<string, number>();
@@ -42,7 +45,8 @@
     options: { nowMillis: number; storeRecoveredAtMillis: number },
   ): TargetChange {
     const known = this.#targets.get(row.id);
-    const newest = known?.version ?? this.#removedAtVersion.get(row.id) ?? 0;
+    const newest = known?.version ?? this.#removedAtVersion.get(row.id) ??
+      this.#snapshotVersion;
     if (row.version <= newest) return "stale";
     if (row.record === undefined) {
       return this.#drop(row, known, options);
@@ -87,6 +91,7 @@
       this.apply({ id, version: options.version, record: undefined }, options);
     }
     this.#complete = true;
+    this.#recordSnapshot(options.version);
     return missing;
   }
 
@@ -123,6 +128,14 @@
     return this.#targets.size;
   }
 
+  #recordSnapshot(version: number): void {
+    if (version <= this.#snapshotVersion) return;
+    this.#snapshotVersion = version;
+    for (const [id, removedAtVersion] of this.#removedAtVersion) {
+      if (removedAtVersion <= version) this.#removedAtVersion.delete(id);
+    }
+  }
+
   #drop(
     row: { id: string; version: number },
     known: TargetState | undefined,
