Tell peers up to which version a state is complete

An entry that missed the removal of a target kept using it, also after the store was back, if it fetched changes from an entry that had started since; and a restarted entry took back targets and evacuations from a peer that was behind. The newest row versions are what heartbeats carry, as before, so nobody fetches more often.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -242,6 +242,27 @@
     And an entry "e2" that can't reach the store, with "e1" as seed
     Then "e2" answers 200 to "/read/x" within 3 s
 
+  Scenario: A restarted entry doesn't take back a target that left, or an evacuation that ended, from a peer that is behind
+    Given a target "t1" that answers
+    And a target "t2" that answers
+    And an entry "e1"
+    And data centre "b1" is evacuated
+    And a peer that still has the state of "e1" and sends it after 300 ms
+    When the record of "t1" is removed
+    And the evacuation of data centre "b1" ends
+    And "e1" stops
+    And an entry "e2"
+    And an entry "e3" that can't reach the store, with "e2" and that peer as seeds
+    Then "e3" has only the target "t2" and no evacuation of "b1" for 1 s
+
+  Scenario: An entry that missed the removal of a target learns of it from one that started since
+    Given a target "t1" that answers
+    And a target "t2" that answers
+    And an entry "e1"
+    When the store refuses "e1" while the record of "t1" is removed and "t2" reports again
+    And an entry "e2"
+    Then "t1" is removed from "e1" within 3 s
+
   Scenario: Entries that start together list each other in their directories
     Given a target "t1" that answers
     And entries "e1" and "e2" that start together
--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -2,7 +2,8 @@
  * Steps for the state that entries get from the store and from each other.
  */
 import assert from "node:assert/strict";
-import { Then, When } from "@cucumber/cucumber";
+import { createServer } from "node:http";
+import { After, Given, Then, When } from "@cucumber/cucumber";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import { call, gatewayOf, pause, world } from "./support/scenario.ts";
 import { testConfig, until } from "./support/test_gateway.ts";
@@ -229,3 +230,83 @@
     }
   },
 );
+
+let peerBehind: { address: string; close: () => void } | undefined;
+
+After(() => {
+  peerBehind?.close();
+  peerBehind = undefined;
+});
+
+Given(
+  "a peer that still has the state of {string} and sends it after {int} ms",
+  async (entry: string, millis: number) => {
+    const delta = gatewayOf(entry).state.latestRows.changesSince([0, 0]);
+    const body = JSON.stringify(delta);
+    const server = createServer(async (_request, response) => {
+      await pause(millis);
+      response.end(body);
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as { port: number };
+    peerBehind = {
+      address: `127.0.0.1:${port}`,
+      close: () => server.close(),
+    };
+  },
+);
+
+Given(
+  "an entry {string} that can't reach the store, with {string} and that peer as seeds",
+  (id: string, seed: string) =>
+    world.system.addEntry(id, {
+      storeUnavailable: true,
+      seeds: [seed, peerBehind?.address ?? ""],
+    }),
+);
+
+When("the record of {string} is removed", async (id: string) => {
+  world.system.store.put(StateTable.targets, {
+    kind: "target",
+    id,
+    record: undefined,
+  });
+  for (const [name, { gateway }] of world.system.entries) {
+    await waitForState(name, () => gateway.state.targets.get(id) === undefined);
+  }
+});
+
+When(
+  "the store refuses {string} while the record of {string} is removed and {string} reports again",
+  async (entry: string, removed: string, reporting: string) => {
+    await until(
+      () => world.system.logText.includes(`event=registered instance=${entry}`),
+      `${entry} is registered`,
+    );
+    const { store } = world.system;
+    store.setUnavailable(entry, true);
+    store.put(StateTable.targets, {
+      kind: "target",
+      id: removed,
+      record: undefined,
+    });
+    world.system.writeTarget(reporting, false);
+  },
+);
+
+Then(
+  "{string} has only the target {string} and no evacuation of {string} for {int} s",
+  async (entry: string, id: string, dataCentre: string, seconds: number) => {
+    const { state } = gatewayOf(entry);
+    await until(() => state.isComplete, `${entry} has its state`);
+    const endMillis = performance.now() + seconds * 1000;
+    while (performance.now() < endMillis) {
+      const ids = [...state.targets.all()].map(({ record }) => record.id);
+      assert.deepEqual(ids, [id]);
+      assert.ok(!state.isEvacuated(dataCentre), `${dataCentre} is evacuated`);
+      await pause(20);
+    }
+  },
+);
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -165,6 +165,7 @@
     id: string,
     options: {
       storeUnavailable?: boolean;
+      /** Entries, or addresses of other servers of state. */
       seeds?: string[];
       hasRetryBudget?: boolean;
       dataCentre?: string;
@@ -179,7 +180,7 @@
       listen: { callers, readiness, directory, state, peers, metrics: "" },
       storeAddress: "",
       seeds: (options.seeds ?? []).map((seed) =>
-        this.settings(seed).listen.state
+        this.entries.get(seed)?.settings.listen.state ?? seed
       ),
       dataCentres: { a1: "a", a2: "a", b1: "b" },
       graceMillis: 1200,
--- a/packages/gateway/src/fetch_peer_state.ts
+++ b/packages/gateway/src/fetch_peer_state.ts
@@ -13,18 +13,20 @@
  */
 const FETCH_TIMEOUT_MILLIS = 600;
 
-/** Fetches all rows after `versions` from one entry; undefined if that fails. */
+/** Fetches all changes after `completeTo` from one entry; undefined if that fails. */
 export async function fetchPeerState(
   address: string,
-  options: { versions: RowVersions; log: EventLog },
+  options: { completeTo: RowVersions; log: EventLog },
 ): Promise<RowDelta | undefined> {
-  const [operator, targets] = options.versions;
+  const [operator, targets] = options.completeTo;
   const query = `operator=${operator}&targets=${targets}`;
   try {
     const response = await request(`http://${address}${STATE_PATH}?${query}`, {
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLIS),
     });
-    return await response.body.json() as RowDelta;
+    const delta = await response.body.json() as RowDelta;
+    // Entries of an older build send no `completeTo`.
+    return { ...delta, completeTo: delta.completeTo ?? delta.versions };
   } catch (error) {
     options.log.info("borrow_failed", {
       from: address,
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -123,9 +123,16 @@
     options: { version: number; nowMillis: number },
   ): void {
     this.apply(rows, options.nowMillis);
-    if (table === StateTable.targets) this.#retainTargets(rows, options);
-    if (table === StateTable.entries) this.#retainMembers(rows, options);
-    if (table === StateTable.operator) this.#retainEvacuations(rows, options);
+    switch (table) {
+      case StateTable.targets:
+        this.#retainTargets(rows, options);
+        return this.latestRows.recordSnapshot([0, options.version]);
+      case StateTable.operator:
+        this.#retainEvacuations(rows, options);
+        return this.latestRows.recordSnapshot([options.version, 0]);
+      case StateTable.entries:
+        return this.#retainMembers(rows, options);
+    }
   }
 
   /** Number of targets that name a request limit. */
@@ -413,6 +420,10 @@
     rows: readonly StateRow[],
     options: { version: number; nowMillis: number },
   ): void {
+    this.#operatorSnapshotVersion = Math.max(
+      this.#operatorSnapshotVersion,
+      options.version,
+    );
     const listed = new Set<string>();
     for (const row of rows) {
       if (row.kind === "evacuation" && row.active) listed.add(row.dataCentre);
@@ -420,10 +431,6 @@
     for (const [dataCentre, known] of this.#evacuated) {
       if (!known.active || listed.has(dataCentre)) continue;
       if (known.version > options.version) continue;
-    this.#operatorSnapshotVersion = Math.max(
-      this.#operatorSnapshotVersion,
-      options.version,
-    );
       // Newer than the snapshot's rows, older than any later row: the store's
       // versions are whole numbers.
       this.#applyEvacuation({
--- a/packages/gateway/src/latest_rows.ts
+++ b/packages/gateway/src/latest_rows.ts
@@ -13,7 +13,10 @@
   rows: StateRow[];
   /** True if the rows are complete: what they don't list was removed. */
   whole: boolean;
+  /** Newest versions of the sender's rows. */
   versions: RowVersions;
+  /** Versions up to which the sender knows all changes: at least `versions`. */
+  completeTo: RowVersions;
 }
 
 /** How long removals are kept; an entry that is further behind gets all rows. */
@@ -30,13 +33,38 @@
   readonly #rows = new Map<string, StoredRow>();
   #operator = 0;
   #targets = 0;
-  /** Newest version of a discarded removal; entries behind it need all rows. */
-  #discardedVersion = 0;
+  /**
+   * Versions before which removals may be missing here, since they were discarded
+   * or came before a snapshot; entries behind them need all rows.
+   */
+  #removalsMissingBefore: RowVersions = [0, 0];
+  /** Versions up to which all changes are known, besides those of the rows. */
+  #completeTo: RowVersions = [0, 0];
 
+  /** Newest versions of the rows; other entries that know older ones are behind. */
   get versions(): RowVersions {
     return [this.#operator, this.#targets];
   }
 
+  /** Versions up to which all changes are known. */
+  get completeTo(): RowVersions {
+    return maxVersions(this.#completeTo, this.versions);
+  }
+
+  /** Records that all changes up to `versions` are known. */
+  recordComplete(versions: RowVersions): void {
+    this.#completeTo = maxVersions(this.#completeTo, versions);
+  }
+
+  /** Records that the rows came from a snapshot, which lists no removals. */
+  recordSnapshot(versions: RowVersions): void {
+    this.recordComplete(versions);
+    this.#removalsMissingBefore = maxVersions(
+      this.#removalsMissingBefore,
+      versions,
+    );
+  }
+
   /** Stores a row, which replaces its predecessor. */
   set(row: StateRow, nowMillis: number): void {
     const removed = row.kind === "target" && row.record === undefined;
@@ -51,15 +79,22 @@
     } else this.#operator = Math.max(this.#operator, row.version);
   }
 
-  /** Rows that are newer than the versions of another entry. */
+  /** Rows that are newer than the versions up to which another entry is complete. */
   changesSince([operator, targets]: RowVersions): RowDelta {
-    const whole = operator === 0 || targets < this.#discardedVersion;
+    const [operatorMissing, targetsMissing] = this.#removalsMissingBefore;
+    const whole = operator === 0 || operator < operatorMissing ||
+      targets < targetsMissing;
     const rows: StateRow[] = [];
     for (const { row } of this.#rows.values()) {
       const known = row.kind === "target" ? targets : operator;
       if (whole || row.version > known) rows.push(row);
     }
-    return { rows, whole, versions: this.versions };
+    return {
+      rows,
+      whole,
+      versions: this.versions,
+      completeTo: this.completeTo,
+    };
   }
 
   /** Discards old removals. */
@@ -67,11 +102,18 @@
     for (const [key, { row, discardAtMillis }] of this.#rows) {
       if (nowMillis < discardAtMillis) continue;
       this.#rows.delete(key);
-      this.#discardedVersion = Math.max(this.#discardedVersion, row.version);
+      this.#removalsMissingBefore = maxVersions(this.#removalsMissingBefore, [
+        0,
+        row.version,
+      ]);
     }
   }
 }
 
+function maxVersions(a: RowVersions, b: RowVersions): RowVersions {
+  return [Math.max(a[0], b[0]), Math.max(a[1], b[1])];
+}
+
 function keyOf(row: StateRow): string {
   switch (row.kind) {
     case "config":
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -111,7 +111,7 @@
    * this one lacks.
    */
   handleVersions(peer: EntryRecord, versions: RowVersions): void {
-    const own = this.#options.state.latestRows.versions;
+    const own = this.#options.state.latestRows.completeTo;
     if (versions[0] <= own[0] && versions[1] <= own[1]) return;
     if (!this.#options.state.isComplete) return;
     const nowMillis = performance.now();
@@ -228,10 +228,13 @@
     if (isTooSoon && !options.force) return;
     this.#fetchedAtMillis = nowMillis;
     this.#fetching = true;
-    const { versions } = state.latestRows;
-    const delta = await fetchPeerState(address, { versions, log });
+    const { completeTo } = state.latestRows;
+    const delta = await fetchPeerState(address, { completeTo, log });
     this.#fetching = false;
-    if (delta === undefined || delta.rows.length === 0) return;
+    if (delta === undefined) return;
+    if (delta.rows.length === 0) {
+      return state.latestRows.recordComplete(delta.completeTo);
+    }
     log.info("state_borrowed", {
       from: address,
       rows: delta.rows.length,
@@ -240,17 +243,25 @@
     this.#apply(delta);
   }
 
-  #apply({ rows, whole, versions }: RowDelta): void {
+  #apply({ rows, whole, completeTo }: RowDelta): void {
     const { state } = this.#options;
     const nowMillis = performance.now();
+    const [operator, targets] = completeTo;
     if (whole) {
-      for (const table of [StateTable.operator, StateTable.targets]) {
-        const version = versions[table === StateTable.targets ? 1 : 0];
-        state.applySnapshot(table, rows, { version, nowMillis });
-      }
-    } else state.apply(rows, nowMillis);
-    this.#operatorFollower.advance(versions[0]);
-    this.#targetsFollower.advance(versions[1]);
+      state.applySnapshot(StateTable.operator, rows, {
+        version: operator,
+        nowMillis,
+      });
+      state.applySnapshot(StateTable.targets, rows, {
+        version: targets,
+        nowMillis,
+      });
+    } else {
+      state.apply(rows, nowMillis);
+      state.latestRows.recordComplete(completeTo);
+    }
+    this.#operatorFollower.advance(operator);
+    this.#targetsFollower.advance(targets);
     this.#behindSinceMillis = undefined;
   }
 }
