End no stop before its requests are answered, however often it is requested

A second SIGTERM during a planned stop ended the process within 50 ms: requests under way were cut off without an answer. Cause: a repeated stop resolved at once, and the daemon exits when a stop resolves. Change: a repeated stop joins the one in progress.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -214,6 +214,13 @@
     When a caller of "e1" gets "/nowhere/x" after "e1" began to stop
     Then the answer is 404 and closes the connection
 
+  Scenario: A stop that is requested again doesn't end before its requests are answered
+    Given a target "t1" that answers after 400 ms
+    And an entry "e1"
+    When "e1" is stopped twice while a caller waits for "/read/x"
+    Then the answer is 200 and closes the connection
+    And each stop ended after the answer
+
   Scenario: A newer configuration takes effect and an older one is ignored
     Given a target "t1" that answers
     And an entry "e1"
--- a/packages/gateway/features/stop_steps.ts
+++ b/packages/gateway/features/stop_steps.ts
@@ -120,6 +120,36 @@
   },
 );
 
+/** Whether the answer had arrived when each stop ended. */
+let answeredAtStopEnd: boolean[] = [];
+
+When(
+  "{string} is stopped twice while a caller waits for {string}",
+  async (entry: string, path: string) => {
+    answeredAtStopEnd = [];
+    let answered = false;
+    const waiting = call(entry, path).then((reply) => {
+      answered = true;
+      world.replies.push(reply);
+    });
+    await pause(100);
+    const stops: Promise<void>[] = [];
+    for (let i = 0; i < 2; i++) {
+      stops.push(
+        gatewayOf(entry).stop().then(() => {
+          answeredAtStopEnd.push(answered);
+        }),
+      );
+      await pause(50);
+    }
+    await Promise.all([waiting, ...stops]);
+  },
+);
+
+Then("each stop ended after the answer", () => {
+  assert.deepEqual(answeredAtStopEnd, [true, true]);
+});
+
 Then("the caller got a {int} that closes the connection", (status: number) => {
   const [caller] = openCallers;
   assert.equal(caller.answers.length, 1);
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -32,7 +32,7 @@
 /** A running gateway. */
 export interface RunningGateway {
   state: GatewayState;
-  /** Stops gracefully within the grace period; returns at once if a stop is in progress. */
+  /** Stops gracefully within the grace period; joins a stop that is in progress. */
   stop(): Promise<void>;
 }
 
@@ -99,6 +99,7 @@
     onUnknownMembers: () => stateTask.readMembersIfDue(),
   });
   let stopping = false;
+  let stopped: Promise<void> | undefined;
   stateTask.start();
   await callers.listen(settings.listen.callers);
   const servers: Server[] = await Promise.all([
@@ -175,8 +176,7 @@
     metrics.gauge("bamboolane_resident_bytes", () => process.memoryUsage.rss());
   }
 
-  async function stop(): Promise<void> {
-    if (stopping) return;
+  async function stopGracefully(): Promise<void> {
     stopping = true;
     const stopAtMillis = performance.now();
     log.info("stopping", { inFlight: runner.inFlight });
@@ -215,7 +215,7 @@
     log.flush();
   }
 
-  return { state, stop };
+  return { state, stop: () => stopped ??= stopGracefully() };
 }
 
 function pause(millis: number): Promise<void> {
