Recognise late copies of answers in the entry daemon too

A target's late copy of an earlier answer, on a connection that was in use again, was taken for the answer to the next request: its caller got another's answer, or was told "not run" about a request that ran. A refusal without end was read until the connection ended. Cause: nothing in an answer said which attempt it belongs to. Change: attempts are named in `bamboolane-attempt`; an answer that repeats another name is lost, with unknown outcome, and its connection is closed. Targets that don't repeat it are as exposed as before. At most 16 kB of a refusal are read.

--- /dev/null
+++ b/packages/entry/features/target_client.feature
@@ -0,0 +1,21 @@
+Feature: Attempts on one target
+  A target may send a late copy of an answer on a connection that is in use again.
+  Targets that repeat the header `bamboolane-attempt` show which attempt an answer
+  belongs to.
+
+  Scenario Outline: A late copy of an earlier <kind> is not taken for the next answer
+    Given a target whose <kind> is followed by a late copy before the next answer
+    When two requests are sent to it one after another
+    Then the outcome of the second one is unknown
+    And both requests reached the target on one connection
+
+    Examples:
+      | kind    |
+      | answer  |
+      | refusal |
+
+  Scenario: A refusal without end is not read to its end
+    Given a target that sends a refusal without end
+    When a request is sent to it
+    Then it was refused as not run
+    And the target's connection is closed after at most 8000 kB
--- /dev/null
+++ b/packages/entry/features/target_client_steps.ts
@@ -0,0 +1,157 @@
+/**
+ * Steps that send single attempts to a scripted target.
+ */
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { newAttemptRecord, type Work } from "@bamboolane/entry/answer";
+import {
+  ATTEMPT_HEADER,
+  TargetClient,
+  type TargetResponse,
+} from "@bamboolane/entry/target_client";
+import { SteeringError } from "@bamboolane/errors/steering_error";
+import {
+  formatResponse,
+  type ReceivedRequest,
+  type Script,
+  type ScriptedTarget,
+  startScriptedTarget,
+} from "@bamboolane/standins/scripted_target";
+import { Outcome } from "@bamboolane/types/request";
+
+const REFUSAL = { status: 503, header: "x-refused", value: "1" };
+const CLOSE_TIMEOUT_MILLIS = 1000;
+
+let target: ScriptedTarget | undefined;
+let client: TargetClient | undefined;
+let results: (TargetResponse | SteeringError)[] = [];
+let endlessBytes = 0;
+
+After(async () => {
+  client?.close();
+  await target?.close();
+  client = undefined;
+  target = undefined;
+});
+
+async function startTarget(script: Script): Promise<void> {
+  results = [];
+  endlessBytes = 0;
+  target = await startScriptedTarget({ script });
+  client = new TargetClient(target.address, { slots: 1 });
+}
+
+function formatAnswer(kind: string, received: ReceivedRequest): string {
+  const attempt = { [ATTEMPT_HEADER]: received.headers[ATTEMPT_HEADER] };
+  return kind === "refusal"
+    ? formatResponse(503, { ...attempt, "X-Refused": "1" }, "")
+    : formatResponse(200, attempt, received.path);
+}
+
+Given(
+  /^a target whose (answer|refusal) is followed by a late copy before the next answer$/,
+  (kind: string) => {
+    let previous = "";
+    return startTarget((received, socket) => {
+      socket.write(previous);
+      previous ||= formatAnswer(kind, received);
+      // The second request runs: its own answer comes after the copy.
+      const own = received.path === "/0"
+        ? previous
+        : formatAnswer("answer", received);
+      socket.write(own);
+    });
+  },
+);
+
+async function sendEndlessly(socket: Socket): Promise<void> {
+  const chunk = "x".repeat(65_536);
+  socket.write(
+    formatResponse(503, { "X-Refused": "1" }, "").replace(
+      "Content-Length: 0",
+      "Content-Length: 9000000000",
+    ),
+  );
+  while (!socket.destroyed) {
+    endlessBytes += chunk.length;
+    socket.write(chunk);
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
+Given(
+  "a target that sends a refusal without end",
+  () => startTarget((_received, socket) => sendEndlessly(socket)),
+);
+
+function makeWork(index: number): Work {
+  const attempts = newAttemptRecord();
+  attempts.dispatches = 1;
+  return {
+    info: { id: `r${index}`, method: "POST", path: `/${index}` },
+    headers: [["host", "test.example"]],
+    body: { kind: "whole", bytes: new Uint8Array() },
+    deadlineMillis: Infinity,
+    signal: new AbortController().signal,
+    move: "",
+    attempts,
+  } as unknown as Work;
+}
+
+async function send(index: number): Promise<void> {
+  assert.ok(client);
+  try {
+    const response = await client.send(makeWork(index), {
+      signal: new AbortController().signal,
+      remainingMillis: 1000,
+      refusal: REFUSAL,
+      drainHeader: "x-draining",
+    });
+    for await (const _chunk of response.body) {
+      // Reads the answer, so that its connection is used again.
+    }
+    results.push(response);
+  } catch (error) {
+    assert.ok(error instanceof SteeringError, String(error));
+    results.push(error);
+  }
+}
+
+When("two requests are sent to it one after another", async () => {
+  await send(0);
+  // The pool learns a moment later that the connection is free again.
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  await send(1);
+});
+
+When("a request is sent to it", () => send(0));
+
+Then("the outcome of the second one is unknown", () => {
+  const second = results[1];
+  assert.ok(second instanceof SteeringError, "it has no answer");
+  assert.equal(second.outcome, Outcome.unknown);
+});
+
+Then("both requests reached the target on one connection", () => {
+  const connections = target?.received.map(({ connection }) => connection);
+  assert.deepEqual(connections, [1, 1]);
+});
+
+Then("it was refused as not run", () => {
+  const [first] = results;
+  assert.ok(first instanceof SteeringError);
+  assert.equal(first.outcome, Outcome.notRun);
+});
+
+Then(
+  "the target's connection is closed after at most {int} kB",
+  async (kilobytes: number) => {
+    const endMillis = performance.now() + CLOSE_TIMEOUT_MILLIS;
+    while (target?.abortedCount() === 0 && performance.now() < endMillis) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    assert.equal(target?.abortedCount(), 1);
+    assert.ok(endlessBytes <= kilobytes * 1000, `${endlessBytes} bytes`);
+  },
+);
--- a/packages/entry/src/target_client.ts
+++ b/packages/entry/src/target_client.ts
@@ -41,6 +41,13 @@
 const CRASH_CHECK_TIMEOUT_MILLIS = 200;
 /** Header with the time left for the request. Unit: milliseconds. */
 export const TIMEOUT_HEADER = "bamboolane-timeout-millis";
+/**
+ * Header that names the attempt. A target that repeats it in its answer shows
+ * that this is no late copy of an earlier answer on the same connection.
+ */
+export const ATTEMPT_HEADER = "bamboolane-attempt";
+/** Size up to which a refusal's body is read, so that its connection can be reused. */
+const MAX_REFUSAL_BYTES = 16_384;
 /** Headers that apply to a single connection and are never passed on. */
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
@@ -105,7 +112,8 @@
 ): HeaderPair[] {
   const pairs: HeaderPair[] = [];
   for (const [name, value] of Object.entries(headers)) {
-    if (HOP_BY_HOP_HEADERS.has(name) || value === undefined) continue;
+    if (HOP_BY_HOP_HEADERS.has(name) || name === ATTEMPT_HEADER) continue;
+    if (value === undefined) continue;
     for (const item of Array.isArray(value) ? value : [value]) {
       pairs.push([name, item]);
     }
@@ -135,8 +143,12 @@
 
   /** Sends one attempt; rejects with a {@link SteeringError}. */
   async send(work: Work, options: AttemptOptions): Promise<TargetResponse> {
-    const headers = work.headers.flatMap(([name, value]) => [name, value]);
+    const attempt = `${work.info.id}.${work.attempts.dispatches}`;
+    const headers = work.headers.filter(([name]) => name !== ATTEMPT_HEADER)
+      .flatMap(([name, value]) => [name, value]);
     headers.push(
+      ATTEMPT_HEADER,
+      attempt,
       TIMEOUT_HEADER,
       String(Math.max(1, Math.floor(options.remainingMillis))),
     );
@@ -157,13 +169,20 @@
         `Target ${this.#address}: ${(error as Error).message}.`,
       );
     }
+    response.body.on("error", () => {});
+    if ((response.headers[ATTEMPT_HEADER] ?? attempt) !== attempt) {
+      response.body.destroy();
+      throw new SteeringError(
+        ResultCode.targetLost,
+        `Target ${this.#address}: answer to another attempt.`,
+      );
+    }
     const draining = response.headers[options.drainHeader] !== undefined;
     if (isRefusal(response, options.refusal)) {
-      response.body.on("error", () => {});
-      response.body.resume();
+      // Closes the connection if the body is longer.
+      response.body.dump({ limit: MAX_REFUSAL_BYTES }).catch(() => {});
       throw new TargetRefusal(draining);
     }
-    response.body.on("error", () => {});
     return {
       status: response.statusCode,
       headers: toHeaderPairs(response.headers),
