Send no request whose caller is known or knowable to have left

Each turn of the loop was short, so nothing counted as a stall. After a real stall, timers sent queued requests, and retries went out, before the closes of that time were read. Change: before a request is placed, all sockets are polled once more, which reads a close that was there; after a stall, queued requests and retries wait until all sockets have been polled.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -114,6 +114,12 @@
     When 5 callers of "e1" send a request and disconnect while the process stalls for 400 ms
     Then "t1" received 0 requests
 
+  Scenario: A request whose caller disconnected before it was read is not sent to a target
+    Given a target "t1" that answers
+    And an entry "e1"
+    When 5 callers of "e1" send a request and disconnect before it is read
+    Then "t1" received 0 requests
+
   Scenario: A stall of the event loop is detected however often the monitor is queried
     When each turn of the event loop takes 60 ms and queries the stall monitor 20 times
     Then a stall was detected
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -378,31 +378,101 @@
     for (let i = 0; i < workerData.count; i++) {
       const socket = connect({ host, port: Number(port) });
       socket.write("GET /read/x HTTP/1.1\\r\\nHost: test.example\\r\\n" +
-        "Test-Request: left" + i + "\\r\\nTest-Deadline: 1000\\r\\n\\r\\n");
-      setTimeout(() => socket.end(), 100);
+        "Test-Request: left" + i + "\\r\\nTest-Deadline: 5000\\r\\n\\r\\n");
+      setTimeout(
+        () => socket.end(() => Atomics.add(workerData.left, 0, 1)),
+        workerData.leaveAfterMillis,
+      );
     }
   });
 `;
 
+/** When the stall began, on the log's clock. */
+let stallTime = "";
+
+/**
+ * Lets callers in another thread send a request each and disconnect while this
+ * process stalls; the stall begins `queuedMillis` after the requests.
+ */
+async function disconnectDuringStall(
+  entry: string,
+  options: {
+    count: number;
+    queuedMillis: number;
+    /** When callers disconnect, after their requests. */
+    leaveAfterMillis: number;
+    /** Length of the stall; if undefined, it ends when all callers have disconnected. */
+    stallMillis: number | undefined;
+  },
+): Promise<void> {
+  const { count, leaveAfterMillis } = options;
+  const address = world.system.settings(entry).listen.callers;
+  const left = new Int32Array(new SharedArrayBuffer(4));
+  const worker = new Worker(DISCONNECTING_CALLERS, {
+    eval: true,
+    workerData: { address, count, leaveAfterMillis, left },
+  });
+  await new Promise((resolve) => worker.once("online", resolve));
+  worker.postMessage("go");
+  await pause(options.queuedMillis);
+  stallTime = new Date().toISOString();
+  const startMillis = performance.now();
+  const hasEnded = () =>
+    options.stallMillis === undefined
+      ? Atomics.load(left, 0) === count
+      : performance.now() - startMillis > options.stallMillis;
+  while (!hasEnded()) {
+    // Stalls the event loop.
+  }
+  await pause(500);
+  await worker.terminate();
+}
+
 When(
   "{int} callers of {string} send a request and disconnect while the process stalls for {int} ms",
-  async (count: number, entry: string, millis: number) => {
-    const address = world.system.settings(entry).listen.callers;
-    const worker = new Worker(DISCONNECTING_CALLERS, {
-      eval: true,
-      workerData: { address, count },
+  (count: number, entry: string, stallMillis: number) =>
+    disconnectDuringStall(entry, {
+      count,
+      queuedMillis: 0,
+      leaveAfterMillis: 100,
+      stallMillis,
+    }),
+);
+
+When(
+  "{int} callers of {string} send a request and disconnect before it is read",
+  async (count: number, entry: string) => {
+    // The start of the process counts as a stall, which has to be over.
+    await pause(1200);
+    await disconnectDuringStall(entry, {
+      count,
+      queuedMillis: 0,
+      leaveAfterMillis: 0,
+      stallMillis: undefined,
     });
-    await new Promise((resolve) => worker.once("online", resolve));
-    worker.postMessage("go");
-    const endMillis = performance.now() + millis;
-    while (performance.now() < endMillis) {
-      // Stalls the event loop.
-    }
-    await pause(500);
-    await worker.terminate();
   },
 );
 
+When(
+  "{int} callers of {string} are queued and disconnect while the process stalls for {int} ms",
+  (count: number, entry: string, stallMillis: number) =>
+    disconnectDuringStall(entry, {
+      count,
+      queuedMillis: 60,
+      leaveAfterMillis: 160,
+      stallMillis,
+    }),
+);
+
+Then("none of their requests was sent after that", () => {
+  const lines = world.system.logText.split("\n").filter((line) =>
+    line.includes("request=left") && line.slice("time=".length) > stallTime
+  );
+  const sent = lines.filter((line) => line.includes("event=send "));
+  assert.deepEqual(sent, []);
+  assert.ok(lines.length > 0, "they were seen to leave");
+});
+
 When(
   "a caller of {string} pipelines {int} requests",
   async (entry: string, count: number) => {
--- a/packages/gateway/features/limit_steps.ts
+++ b/packages/gateway/features/limit_steps.ts
@@ -89,6 +89,11 @@
   limitedTarget(id).perSecond = undefined;
 });
 
+Given("{string} and {string} drain", (first: string, second: string) => {
+  world.system.writeTarget(first, true);
+  world.system.writeTarget(second, true);
+});
+
 When("{string} becomes cold", (id: string) => {
   for (const { gateway } of world.system.entries.values()) {
     gateway.state.targets.get(id)?.markCold(60_000, performance.now());
--- a/packages/gateway/features/limits.feature
+++ b/packages/gateway/features/limits.feature
@@ -46,3 +46,11 @@
     When 8 callers of each entry send one after another for 6 s
     Then after the first 0.5 s no 4 s have more than 17 requests at "t1"
     And no entry logged that the limit of "t1" ended
+
+  Scenario: A queued request whose caller disconnected during a stall of the entry is not sent
+    Given a target "t1" that limits itself to 20 requests per second
+    And "t2" and "t3" drain
+    And an entry "e1"
+    When 2 callers of each entry send one after another for 2 s
+    And 8 callers of "e1" are queued and disconnect while the process stalls for 600 ms
+    Then none of their requests was sent after that
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -26,12 +26,13 @@
 } from "./read_request.ts";
 import type { RequestRunner } from "./request_runner.ts";
 import { CallerConnection } from "./caller_connection.ts";
-import { catchUp, StallMonitor } from "./stall_monitor.ts";
+import { catchUp, pollSockets, type StallMonitor } from "./stall_monitor.ts";
 
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
   state: GatewayState;
   runner: RequestRunner;
+  stallMonitor: StallMonitor;
   dialect: CallerDialect;
   log: EventLog;
 }
@@ -58,7 +59,6 @@
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
-  readonly #stallMonitor = new StallMonitor();
   #stopping = false;
 
   constructor(options: GatewayServerOptions) {
@@ -130,7 +130,6 @@
 
   /** Closes all connections at once, without waiting for incomplete answers. */
   close(): void {
-    this.#stallMonitor.stop();
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -185,7 +184,7 @@
     response: ServerResponse,
     route: NonNullable<ReturnType<GatewayState["matchRoute"]>>,
   ): Promise<void> {
-    const { state, runner, dialect, log } = this.#options;
+    const { state, runner, stallMonitor, dialect, log } = this.#options;
     const arrivedAtMillis = performance.now();
     const head = readHead(request, route, dialect);
     const bodyResult = await readBody(request, this.#limits());
@@ -196,8 +195,10 @@
         reason: "body too large",
       });
     }
-    // After a stall, the caller may have disconnected without it being read yet.
-    if (this.#stallMonitor.stalledRecently()) await catchUp();
+    // The caller may have disconnected without it being read yet: requests of new
+    // connections wait while the process is short of time, and longer in a stall.
+    if (stallMonitor.stalledRecently()) await catchUp();
+    else await pollSockets();
     if (bodyResult.kind === "broken" || hasDisconnected(request, response)) {
       return log.info("request", { request: head.id, outcome: "left-unread" });
     }
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -29,6 +29,7 @@
 import { RequestPlacer } from "./request_placer.ts";
 import { RoundTripEstimates } from "./round_trip_estimates.ts";
 import { type AttemptEnd, sendAttempt } from "./send_attempt.ts";
+import type { StallMonitor } from "./stall_monitor.ts";
 import { TargetConnections } from "./target_connections.ts";
 
 /** Options of {@link RequestRunner}. */
@@ -36,6 +37,7 @@
   settings: GatewaySettings;
   dialect: CallerDialect;
   state: GatewayState;
+  stallMonitor: StallMonitor;
   log: EventLog;
   metrics: Metrics;
   random: () => number;
@@ -81,6 +83,7 @@
       QUEUE_POLL_MILLIS,
     );
     options.state.onChange = () => this.dispatchQueued();
+    options.stallMonitor.onCaughtUp = () => this.dispatchQueued();
   }
 
   /** Requests that are queued or at a target. */
@@ -180,7 +183,12 @@
     this.#dispatchQueue(request.service);
   }
 
+  /**
+   * Sends queued requests of a service as far as targets have room; after a stall
+   * only once it is known which callers have left.
+   */
   #dispatchQueue(service: string): void {
+    if (this.#options.stallMonitor.isCatchingUp()) return;
     const serviceState = this.#placer.serviceState(service);
     while (serviceState.queue.length > 0) {
       const nowMillis = performance.now();
@@ -392,7 +400,9 @@
       target: placement.target.record.id,
       sends: request.sends,
     });
-    this.#send(request, placement, nowMillis);
+    if (this.#options.stallMonitor.isCatchingUp()) {
+      this.#placer.serviceState(request.service).queue.add(request);
+    } else this.#send(request, placement, nowMillis);
     return true;
   }
 
--- a/packages/gateway/src/stall_monitor.ts
+++ b/packages/gateway/src/stall_monitor.ts
@@ -1,7 +1,8 @@
 /**
  * Detects stalls of the event loop: while the process loads code, is short of
  * processor time or was paused. Events that are read right after a stall may be
- * out of date.
+ * out of date, and callers that left meanwhile are known only once all sockets
+ * have been polled.
  */
 
 /** How often the event loop is checked. */
@@ -22,6 +23,9 @@
   #checkedAtMillis = performance.now();
   /** The start of the process counts as a stall. */
   #stalledAtMillis = performance.now();
+  #catchingUp = false;
+  /** Called once all sockets have been polled after a stall. */
+  onCaughtUp: () => void = () => {};
 
   constructor() {
     this.#timer = setInterval(() => {
@@ -37,15 +41,30 @@
     return performance.now() - this.#stalledAtMillis < BACKLOG_MILLIS;
   }
 
+  /** True from a stall until all sockets have been polled. */
+  isCatchingUp(): boolean {
+    this.#check();
+    return this.#catchingUp;
+  }
+
   stop(): void {
     clearInterval(this.#timer);
   }
 
   #check(): void {
     const nowMillis = performance.now();
-    if (nowMillis - this.#checkedAtMillis > STALL_THRESHOLD_MILLIS) {
-      this.#stalledAtMillis = nowMillis;
-    }
+    if (nowMillis - this.#checkedAtMillis <= STALL_THRESHOLD_MILLIS) return;
+    this.#stalledAtMillis = nowMillis;
+    if (this.#catchingUp) return;
+    this.#catchingUp = true;
+    pollSockets().then(() => this.#endCatchUp());
+  }
+
+  #endCatchUp(): void {
+    this.#catchingUp = false;
+    // A poll that took long itself is no reason to wait for another one.
+    this.#checkedAtMillis = performance.now();
+    this.onCaughtUp();
   }
 }
 
@@ -55,3 +74,12 @@
   // A late loop runs due timers before it reads sockets, and immediates after.
   await new Promise((resolve) => setImmediate(resolve));
 }
+
+/**
+ * Lets the event loop poll all sockets once more. A caller's close that arrived
+ * together with its request is read after it.
+ */
+export async function pollSockets(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+  await new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -17,6 +17,7 @@
 import { GatewayState } from "./gateway_state.ts";
 import { PeerTask } from "./peer_task.ts";
 import { RequestRunner } from "./request_runner.ts";
+import { StallMonitor } from "./stall_monitor.ts";
 import type { StateStore } from "./state_store.ts";
 import { StateTask } from "./state_task.ts";
 
@@ -68,15 +69,23 @@
     stateAddress: settings.listen.state,
   };
   const state = new GatewayState(settings, log);
+  const stallMonitor = new StallMonitor();
   const runner = new RequestRunner({
     settings,
     dialect,
     state,
+    stallMonitor,
     log,
     metrics,
     random: Math.random,
   });
-  const callers = new GatewayServer({ state, runner, dialect, log });
+  const callers = new GatewayServer({
+    state,
+    runner,
+    stallMonitor,
+    dialect,
+    log,
+  });
   const stateTask = new StateTask({
     store,
     state,
@@ -205,6 +214,7 @@
     clearInterval(readinessTimer);
     stateTask.stop();
     peers.stop();
+    stallMonitor.stop();
     runner.stop();
     callers.close();
     for (const server of servers) server.close();
