Start the scenarios of the mutation test, and break the bounds over all entries

`npm run breaks` noticed nothing: no scenario started in its copy, and that counted as "not noticed". Cause: the copy lacked tools/ and platform/, which features import. Change: the copy holds them; a scenario that doesn't run is an error of its own; mutations of the request limit, the warm-up rate and the retry budget, whose scenarios must fail.

--- a/packages/entry/features/failures.feature
+++ b/packages/entry/features/failures.feature
@@ -14,6 +14,12 @@
     When 20 charges are sent to "e1"
     Then each is answered completely or refused as "answer-cut", and ran at most once
 
+  Scenario: A charge whose answer was cut is not run again
+    Given target "a1-t1" cuts its answers short
+    And target "a1-t2" cuts its answers short
+    When 5 charges are sent to "e1"
+    Then each is answered completely or refused as "answer-cut", and ran at most once
+
   Scenario: A target that signals draining gets no new requests
     When target "a1-t1" signals that it is draining
     And 20 requests are sent to "e1"
--- a/tools/src/check/break_invariants.ts
+++ b/tools/src/check/break_invariants.ts
@@ -1,8 +1,8 @@
 /**
- * `npm run breaks [-- INVARIANT ...]` is a mutation test of the invariant
- * checks. For each invariant, or each of those given, one mutation is applied to
- * a copy of the built product, and the named scenario must then report a breach
- * of that invariant.
+ * `npm run breaks [-- NAME ...]` is a mutation test. Each mutation, or each of
+ * those given, is applied to a copy of the built product. The named scenario must
+ * then report a breach of the invariant, or fail where the bound has no check in
+ * the product. A scenario that doesn't run is an error.
  */
 import {
   cp,
@@ -21,9 +21,14 @@
 import process from "node:process";
 import { formatRows } from "../harness/format_rows.ts";
 
+/** What shows that a mutation was noticed. */
+type Detection = "breach" | "failure";
+
 /** A change to the built code and the scenario that must detect it. */
 interface Mutation {
-  invariant: string;
+  /** The invariant, or a bound that only tests check. */
+  name: string;
+  detection: Detection;
   file: string;
   find: string;
   replace: string;
@@ -36,7 +41,8 @@
 
 const MUTATIONS: Mutation[] = [
   {
-    invariant: "move-cap",
+    name: "move-cap",
+    detection: "breach",
     file: "packages/entry/dist/move_share_limiter.js",
     find: "count.moved + 1 <= capShare * count.total",
     replace: "true",
@@ -45,7 +51,8 @@
       "A move redirects its share of the requests and never exceeds its cap",
   },
   {
-    invariant: "region-cap",
+    name: "region-cap",
+    detection: "breach",
     file: "packages/admit/dist/slot_pool.js",
     find: "this.#paused || this.#holders.size >= this.#limits.capInFlight",
     replace: "this.#paused",
@@ -54,7 +61,8 @@
       "A data centre's cap on requests in flight holds under three times its load",
   },
   {
-    invariant: "answer-matches",
+    name: "answer-matches",
+    detection: "breach",
     file: "packages/entry/dist/caller_server.js",
     find: "ids.request = work.info.id;",
     replace: 'ids.request = "another";',
@@ -62,7 +70,8 @@
     scenario: "Explain returns the logged decision",
   },
   {
-    invariant: "not-run-proven",
+    name: "not-run-proven",
+    detection: "breach",
     file: "packages/entry/dist/router.js",
     find: "failure.outcome === Outcome.notRun",
     replace: "true",
@@ -70,15 +79,17 @@
     scenario: "A lost answer is never reported as not run",
   },
   {
-    invariant: "at-most-once",
+    name: "at-most-once",
+    detection: "breach",
     file: "packages/entry/dist/pool_task.js",
     find: "if (!work.info.idempotent)\n                    return false;",
     replace: "",
     feature: FAILURES_FEATURE,
-    scenario: "A truncated answer is never delivered as complete",
+    scenario: "A charge whose answer was cut is not run again",
   },
   {
-    invariant: "no-work-to-leaving",
+    name: "no-work-to-leaving",
+    detection: "breach",
     file: "packages/admit/dist/target_slots.js",
     find: "this.status.draining || this.status.down",
     replace: "this.status.down",
@@ -86,7 +97,8 @@
     scenario: "A target that signals draining gets no new requests",
   },
   {
-    invariant: "graceful-stop",
+    name: "graceful-stop",
+    detection: "breach",
     file: "packages/entry/dist/start_entry.js",
     find: "await finishWork();",
     replace: "",
@@ -94,7 +106,8 @@
     scenario: "A graceful stop completes running requests",
   },
   {
-    invariant: "revision-forward",
+    name: "revision-forward",
+    detection: "breach",
     file: "packages/agree/dist/applied_config.js",
     find:
       "if (revision.head.revision <= this.revision)\n            return false;",
@@ -102,6 +115,36 @@
     feature: FAILURES_FEATURE,
     scenario: "An older revision that arrives late is ignored",
   },
+  {
+    name: "request-limit",
+    detection: "failure",
+    file: "packages/steering/dist/allocate_rate.js",
+    find: "perSecond: terms.perSecond / senders",
+    replace: "perSecond: terms.perSecond",
+    feature: "packages/gateway/features/limits.feature",
+    scenario:
+      "A target that names a limit doesn't get more than that from all entries together",
+  },
+  {
+    name: "warm-up-rate",
+    detection: "failure",
+    file: "packages/gateway/dist/gateway_state.js",
+    find: "|| !this.members.isComplete",
+    replace: "",
+    feature: "packages/gateway/features/gateway.feature",
+    scenario:
+      "An entry that doesn't know the others yet sends nothing to a cold target",
+  },
+  {
+    name: "retry-budget",
+    detection: "failure",
+    file: "packages/steering/dist/retry_budget.js",
+    find: "allowance / Math.max(1, options.entries)",
+    replace: "allowance",
+    feature: "packages/steering/features/steering.feature",
+    scenario:
+      "Retries stay within the fleet's budget during a retry storm at all entries",
+  },
 ];
 
 /** Runs the mutation's scenario in the copy and returns its output. */
@@ -130,7 +173,9 @@
 
 const COPIED_PATHS = [
   "packages",
+  "platform",
   "standins",
+  "tools",
   "package.json",
   "cucumber.mjs",
   "tsconfig.base.json",
@@ -165,6 +210,15 @@
   }
 }
 
+function isNoticed(output: string, mutation: Mutation): boolean {
+  switch (mutation.detection) {
+    case "breach":
+      return output.includes(`: ${mutation.name}`);
+    case "failure":
+      return output.includes("1 scenario (1 failed)");
+  }
+}
+
 /** Applies a mutation to a copy and returns the result of its scenario. */
 async function testMutation(mutation: Mutation): Promise<string> {
   const folder = await mkdtemp(path.join(tmpdir(), "bamboolane-break-"));
@@ -175,23 +229,25 @@
     if (!text.includes(mutation.find)) return "code to replace not found";
     await writeFile(file, text.replace(mutation.find, mutation.replace));
     const output = await runScenario(folder, mutation);
-    if (output.includes(`: ${mutation.invariant}`)) return "noticed";
-    return output.includes("0 scenarios") ? "no such scenario" : "NOT NOTICED";
+    if (!/^1 scenario \(1 (passed|failed)\)$/m.test(output)) {
+      return "THE SCENARIO DID NOT RUN";
+    }
+    return isNoticed(output, mutation) ? "noticed" : "NOT NOTICED";
   } finally {
     await rm(folder, { recursive: true, force: true });
   }
 }
 
 const requested = process.argv.slice(2);
-const rows = [["INVARIANT", "RESULT"]];
+const rows = [["MUTATION", "RESULT"]];
 let noticed = 0;
 const selected = MUTATIONS.filter((m) =>
-  requested.length === 0 || requested.includes(m.invariant)
+  requested.length === 0 || requested.includes(m.name)
 );
 for (const mutation of selected) {
   const result = await testMutation(mutation);
   if (result === "noticed") noticed++;
-  rows.push([mutation.invariant, result]);
+  rows.push([mutation.name, result]);
 }
 process.stdout.write(formatRows(rows) + "\n");
 process.stdout.write(`breaks: ${noticed} of ${selected.length} noticed\n`);
