Retry each idempotent request that was under way at a lost entry

Cause: the budget is sized against storms of failures, but one crash fails all requests at that entry at once. Change: besides the budget, as many retries as were under way at the lost entry, once for each incarnation; a request still has at most one data centre after another. Charges are never retried after a loss, as before.

--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -14,7 +14,9 @@
   type DataCentreCandidate,
 } from "@bamboolane/route/choose_data_centre";
 import { AttemptBudget } from "@bamboolane/route/attempt_budget";
+import { PeerLossAllowance } from "@bamboolane/route/peer_loss_allowance";
 import type { ServiceConfig } from "@bamboolane/types/fleet";
+import type { InstanceRecord } from "@bamboolane/types/instance";
 import { Outcome } from "@bamboolane/types/request";
 import { type Answer, isReplayable, type Work } from "./answer.ts";
 import type { EntryContext } from "./context.ts";
@@ -80,6 +82,7 @@
 export class Router {
   readonly #options: RouterOptions;
   readonly #retryBudget = new AttemptBudget({ initialTokens: 3 });
+  readonly #peerLossAllowance = new PeerLossAllowance();
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -126,14 +129,21 @@
       const best = candidates[0];
       if (best === undefined) break;
       this.#logDecision(work, { home, best, candidates });
+      const owner = this.#options.directory.owner(
+        work.info.service,
+        best.dataCentre,
+      );
+      if (owner) this.#peerLossAllowance.begin(owner);
       try {
-        return await this.#runInDataCentre(work, best.dataCentre);
+        return await this.#runAt(work, owner);
       } catch (error) {
         const latestFailure = toSteeringError(error, ResultCode.internal);
         if (failure === undefined || failure.outcome === Outcome.notRun) {
           failure = latestFailure;
         }
-        if (!this.#mayRetry(work, latestFailure)) throw failure;
+        if (!this.#mayRetry(work, { failure: latestFailure, owner })) {
+          throw failure;
+        }
         if (
           latestFailure.info === ResultCode.notOwner &&
           ++ownerChanges <= MAX_OWNER_CHANGE_RETRIES
@@ -144,6 +154,8 @@
           continue;
         }
         tried.add(best.dataCentre);
+      } finally {
+        if (owner) this.#peerLossAllowance.end(owner);
       }
     }
     throw failure ?? new SteeringError(ResultCode.noTarget);
@@ -197,9 +209,12 @@
     return clientHome.dataCentre;
   }
 
-  async #runInDataCentre(work: Work, dataCentre: string): Promise<Answer> {
+  /** Runs a request in the pool of `owner`; undefined if the pool has no owner. */
+  async #runAt(
+    work: Work,
+    owner: InstanceRecord | undefined,
+  ): Promise<Answer> {
     const { context, directory, forward, ownedPool } = this.#options;
-    const owner = directory.owner(work.info.service, dataCentre);
     if (owner === undefined) throw new SteeringError(ResultCode.noTarget);
     if (owner.id === context.settings.instance.id) {
       const pool = ownedPool(work.info.service);
@@ -219,7 +234,11 @@
     }
   }
 
-  #mayRetry(work: Work, failure: SteeringError): boolean {
+  #mayRetry(
+    work: Work,
+    attempt: { failure: SteeringError; owner: InstanceRecord | undefined },
+  ): boolean {
+    const { failure, owner } = attempt;
     const remainingMillis = work.deadlineMillis -
       this.#options.context.clock.nowMillis();
     if (
@@ -233,6 +252,8 @@
     if (!work.info.idempotent) return false;
     switch (failure.info) {
       case ResultCode.peerLost:
+        return (owner !== undefined && this.#peerLossAllowance.spend(owner)) ||
+          this.#retryBudget.spend();
       case ResultCode.targetLost:
       case ResultCode.answerCut:
         return this.#retryBudget.spend();
--- a/packages/route/features/route.feature
+++ b/packages/route/features/route.feature
@@ -24,6 +24,14 @@
   Scenario: Hedges and retries stay within their budget
     Then with 10000 first attempts and a budget of 5 percent at most 520 extra attempts are allowed
 
+  Scenario: Requests under way at an entry that is lost may be retried once each
+    Given 40 requests under way at an entry when it is lost
+    Then 40 of 60 retries of its requests are allowed
+    When 10 requests are sent to it again and it is lost again
+    Then 0 of 10 retries of its requests are allowed
+    When 5 requests are sent to its next run and it is lost again
+    Then 5 of 10 retries of its requests are allowed
+
   Scenario: A request is held back after two crashes, even if a peer observed one of them
     When a request crashed target "t1" on this instance and target "t2" on a peer
     Then the request is held back
--- a/packages/route/features/route_steps.ts
+++ b/packages/route/features/route_steps.ts
@@ -15,6 +15,7 @@
 import { chooseTarget, type TargetView } from "@bamboolane/route/choose_target";
 import { CrashTracker } from "@bamboolane/route/crash_tracker";
 import { LaneLearner } from "@bamboolane/route/lane_learner";
+import { PeerLossAllowance } from "@bamboolane/route/peer_loss_allowance";
 import { LinkBudget } from "@bamboolane/route/link_budget";
 import { sampleFleet } from "@bamboolane/test-utils/sample_fleet";
 import { seededRandom } from "@bamboolane/test-utils/seeded_random";
@@ -241,3 +242,41 @@
   assert.equal(budget.take(1000, "interactive", { nowMillis: 0 }), 0);
   assert.equal(budget.take(1000, "bulk", { nowMillis: 1000 }), 0);
 });
+
+let allowance: PeerLossAllowance;
+let peer = { id: "e1", incarnation: 1 };
+
+function beginRequests(count: number): void {
+  for (let i = 0; i < count; i++) allowance.begin(peer);
+}
+
+Given(
+  "{int} requests under way at an entry when it is lost",
+  (count: number) => {
+    allowance = new PeerLossAllowance();
+    peer = { id: "e1", incarnation: 1 };
+    beginRequests(count);
+  },
+);
+
+When(
+  "{int} requests are sent to it again and it is lost again",
+  (count: number) => beginRequests(count),
+);
+
+When(
+  "{int} requests are sent to its next run and it is lost again",
+  (count: number) => {
+    peer = { ...peer, incarnation: peer.incarnation + 1 };
+    beginRequests(count);
+  },
+);
+
+Then(
+  "{int} of {int} retries of its requests are allowed",
+  (allowed: number, asked: number) => {
+    const granted = Array.from({ length: asked }, () => allowance.spend(peer))
+      .filter((isAllowed) => isAllowed).length;
+    assert.equal(granted, allowed);
+  },
+);
