Fail a test run that died

Cause: `npm test` read the report of an earlier run if cucumber died first, and printed its counts. Change: the old report is removed first; without a new one the run fails and says how cucumber ended. A run that fails outside of scenarios fails as well.

--- a/tools/src/check/run_tests.ts
+++ b/tools/src/check/run_tests.ts
@@ -3,7 +3,7 @@
  * Failing scenarios that KNOWN-RED.txt names are printed and not counted.
  */
 import { spawn } from "node:child_process";
-import { mkdir, readFile } from "node:fs/promises";
+import { mkdir, readFile, rm } from "node:fs/promises";
 import { once } from "node:events";
 import process from "node:process";
 
@@ -24,13 +24,27 @@
   elements: Scenario[];
 }
 
-async function runCucumber(args: string[]): Promise<void> {
+/** Runs cucumber, which writes a new report; without one the run has died. */
+async function runCucumber(
+  args: string[],
+): Promise<{ features: Feature[]; code: number | null }> {
   await mkdir(".run", { recursive: true });
+  await rm(REPORT_FILE, { force: true });
   const child = spawn("node_modules/.bin/cucumber-js", args, {
     stdio: "inherit",
     env: { ...process.env, NODE_OPTIONS: "--import tsx" },
   });
-  await once(child, "exit");
+  const [code, signal] = await once(child, "exit");
+  try {
+    const report = await readFile(REPORT_FILE, "utf8");
+    return { features: JSON.parse(report) as Feature[], code };
+  } catch (error) {
+    process.stdout.write(
+      `cucumber ended with ${signal ?? code} and left no report: ` +
+        `${(error as Error).message}\n0 passed, 1 failed\n`,
+    );
+    process.exit(1);
+  }
 }
 
 /** Reads the names of scenarios in KNOWN-RED.txt, from its `test:` lines. */
@@ -40,14 +54,14 @@
   return new Set(lines.map((line) => line.slice("test:".length).trim()));
 }
 
-await runCucumber(process.argv.slice(2));
-const features = JSON.parse(await readFile(REPORT_FILE, "utf8")) as Feature[];
+const { features, code } = await runCucumber(process.argv.slice(2));
 const scenarios = features.flatMap((feature) =>
   feature.elements.map((scenario) => ({ ...scenario, uri: feature.uri }))
 );
 const knownRed = await readKnownRed();
 let passed = 0;
 let failed = 0;
+let known = 0;
 for (const scenario of scenarios) {
   const hasPassed = scenario.steps.every((step) =>
     step.result.status === "passed"
@@ -60,13 +74,14 @@
       );
     }
   } else if (knownRed.has(scenario.name)) {
+    known++;
     process.stdout.write(`known red: ${scenario.uri}: ${scenario.name}\n`);
   } else {
     failed++;
     process.stdout.write(`failed: ${scenario.uri}: ${scenario.name}\n`);
   }
 }
-// A run without scenarios must not pass.
-if (scenarios.length === 0) failed++;
+// A run without scenarios must not pass, nor one that failed outside of them.
+if (scenarios.length === 0 || (code !== 0 && failed + known === 0)) failed++;
 process.stdout.write(`${passed} passed, ${failed} failed\n`);
 process.exit(failed === 0 ? 0 : 1);
