--- a/packages/entry/features/support/test_system.ts
+++ b/packages/entry/features/support/test_system.ts
@@ -1,7 +1,6 @@
 /**
  * A small system in one process: stand-ins and entries over loopback.
  */
-import { createServer } from "node:net";
 import { type RunningEntry, startEntry } from "@bamboolane/entry/start_entry";
 import {
   createLogger,
@@ -17,6 +16,7 @@
   type TargetBehaviour,
   type TargetStandin,
 } from "@bamboolane/standins/serve_target";
+import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
 import { sampleFleet } from "@bamboolane/test-utils/sample_fleet";
 import type { FleetConfig } from "@bamboolane/types/fleet";
 import type { EntrySettings } from "@bamboolane/types/settings";
@@ -26,14 +26,6 @@
 export const OPERATOR_TOKEN = "test-operator-token";
 const MAX_WAIT_MILLIS = 30_000;
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as { port: number };
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** Waits until `check` holds; the time limit only ends a test that hangs. */
 export async function waitUntil(
   check: () => boolean | Promise<boolean>,
@@ -85,7 +77,7 @@
     dataCentre: string,
     seeds: string[] = [],
   ): Promise<TestEntry> {
-    const settings = { ...await this.#settings(id, dataCentre), seeds };
+    const settings = { ...this.#settings(id, dataCentre), seeds };
     this.platform.store.instances.push({
       id,
       dataCentre,
@@ -198,15 +190,10 @@
     await this.platform.close();
   }
 
-  async #settings(id: string, dataCentre: string): Promise<EntrySettings> {
-    const ports = [
-      await freePort(),
-      await freePort(),
-      await freePort(),
-      await freePort(),
-    ];
-    const [callers, peers, operators, metrics] = ports.map((port) =>
-      `${HOST}:${port}`
+  #settings(id: string, dataCentre: string): EntrySettings {
+    const [callers, peers, operators, metrics] = Array.from(
+      { length: 4 },
+      reserveAddress,
     );
     return {
       instance: { id, dataCentre, region: REGION_BY_DATA_CENTRE[dataCentre] },
--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -6,7 +6,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import { call, gatewayOf, pause, world } from "./support/scenario.ts";
-import { testConfig, until } from "./support/test_gateway.ts";
+import { testConfig, until, untilWithin } from "./support/test_gateway.ts";
 
 /** Waits until an entry has applied the latest change in the store. */
 async function waitForState(
@@ -101,10 +101,10 @@
 
 Then(
   "only {string} and {string} watch the store within {int} s",
-  (first: string, second: string, _seconds: number) =>
-    until(
+  (first: string, second: string, seconds: number) =>
+    untilWithin(
       () => world.system.store.watchers().join() === `${first},${second}`,
-      `${first} and ${second} watch`,
+      { seconds, description: `${first} and ${second} watch` },
     ),
 );
 
@@ -142,22 +142,22 @@
 
 Then(
   "the directory of {string} lists all {int} entries within {int} s",
-  (entry: string, count: number, _seconds: number) =>
-    until(async () => {
+  (entry: string, count: number, seconds: number) =>
+    untilWithin(async () => {
       const addresses = await world.system.listedAddresses(entry);
       return addresses.length === count &&
         addresses.join() === addressesOf(world.system.entries.keys());
-    }, `${entry} lists all`),
+    }, { seconds, description: `${entry} lists all` }),
 );
 
 Then(
   "the directory of {string} lists {string} and {string} within {int} s",
-  (entry: string, first: string, second: string, _seconds: number) =>
-    until(
+  (entry: string, first: string, second: string, seconds: number) =>
+    untilWithin(
       async () =>
         (await world.system.listedAddresses(entry)).join() ===
           addressesOf([first, second]),
-      `${entry} lists ${first} and ${second}`,
+      { seconds, description: `${entry} lists ${first} and ${second}` },
     ),
 );
 
@@ -200,32 +200,32 @@
 
 Then(
   "{string} is removed from {string} within {int} s",
-  (target: string, entry: string, _seconds: number) =>
-    until(
+  (target: string, entry: string, seconds: number) =>
+    untilWithin(
       () => gatewayOf(entry).state.targets.get(target) === undefined,
-      `${target} is removed`,
+      { seconds, description: `${target} is removed` },
     ),
 );
 Then(
   "{string} answers {int} to {string} within {int} s",
-  (entry: string, status: number, path: string, _seconds: number) =>
-    until(
+  (entry: string, status: number, path: string, seconds: number) =>
+    untilWithin(
       async () => (await call(entry, path)).status === status,
-      `${entry} answers ${status}`,
+      { seconds, description: `${entry} answers ${status}` },
     ),
 );
 
 Then(
   "both directories list both entries within {int} s",
-  async (_seconds: number) => {
+  async (seconds: number) => {
     const all = [...world.system.entries.values()].map(({ settings }) =>
       settings.listen.callers
     ).sort();
     for (const entry of world.system.entries.keys()) {
-      await until(
+      await untilWithin(
         async () =>
           (await world.system.listedAddresses(entry)).join() === all.join(),
-        `${entry} lists both`,
+        { seconds, description: `${entry} lists both` },
       );
     }
   },
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -1,7 +1,6 @@
 /**
  * Gateways on loopback ports with scripted targets and an in-memory store.
  */
-import { createServer } from "node:net";
 import { request } from "undici";
 import { createLogger } from "@bamboolane/logger/create_logger";
 import { createNoopMetrics } from "@bamboolane/metrics/create_metrics";
@@ -12,6 +11,7 @@
   startGateway,
 } from "@bamboolane/gateway/start_gateway";
 import { StateTable } from "@bamboolane/gateway/state_store";
+import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
 import { MemoryStateStore } from "@bamboolane/standins/memory_state_store";
 import {
   type Script,
@@ -101,14 +101,6 @@
   };
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as { port: number };
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** An entry with its settings. */
 export interface TestEntry {
   settings: GatewaySettings;
@@ -172,8 +164,9 @@
     } = {},
   ): Promise<void> {
     if (options.storeUnavailable) this.store.setUnavailable(id, true);
-    const [callers, readiness, directory, state, peers] = await Promise.all(
-      [1, 2, 3, 4, 5].map(async () => `127.0.0.1:${await freePort()}`),
+    const [callers, readiness, directory, state, peers] = Array.from(
+      { length: 5 },
+      reserveAddress,
     );
     const settings: GatewaySettings = {
       instance: { id, dataCentre: options.dataCentre ?? "a1", region: "a" },
@@ -239,15 +232,26 @@
   }
 }
 
+const MAX_WAIT_SECONDS = 5;
+
 /** Waits until `check` holds; fails after 5 s. */
-export async function until(
+export function until(
   check: () => boolean | Promise<boolean>,
   description: string,
 ): Promise<void> {
-  const endMillis = performance.now() + 5000;
+  return untilWithin(check, { seconds: MAX_WAIT_SECONDS, description });
+}
+
+/** Waits until `check` holds; fails after `seconds`. */
+export async function untilWithin(
+  check: () => boolean | Promise<boolean>,
+  options: { seconds: number; description: string },
+): Promise<void> {
+  const { seconds, description } = options;
+  const endMillis = performance.now() + seconds * 1000;
   while (!await check()) {
     if (performance.now() > endMillis) {
-      throw new Error(`timed out after 5 s: ${description}`);
+      throw new Error(`not within ${seconds} s: ${description}`);
     }
     await new Promise((resolve) => setTimeout(resolve, 10));
   }
