Treat a block without a proper prefix length as malformed

Cause: "10.1.0.0/" was read as the prefix length 0, the whole address space, since an empty text is the number 0; "/1e1" and a second slash passed as well. Change: the length is one or two digits after the only slash. Result: "A block without a proper prefix length is malformed" failed in four of six examples before and passes.

--- a/packages/locate/features/locate.feature
+++ b/packages/locate/features/locate.feature
@@ -13,3 +13,15 @@
 
   Scenario: Losing an instance moves only the pools that it owned
     Then removing any of 12 instances moves no pool of another instance
+
+  Scenario Outline: A block without a proper prefix length is malformed
+    Then the block "<cidr>" is malformed
+
+    Examples:
+      | cidr          |
+      | 10.1.0.0/     |
+      | 10.1.0.0      |
+      | 10.1.0.0/33   |
+      | 10.1.0.0/1e1  |
+      | 10.1.0.0/8/8  |
+      | 10.1.0.0/ 8   |
--- a/packages/locate/features/locate_steps.ts
+++ b/packages/locate/features/locate_steps.ts
@@ -149,3 +149,7 @@
     }
   }
 });
+
+Then("the block {string} is malformed", (cidr: string) => {
+  assert.equal(parseCidr(cidr), undefined);
+});
--- a/packages/locate/src/block_table.ts
+++ b/packages/locate/src/block_table.ts
@@ -44,12 +44,11 @@
 export function parseCidr(
   cidr: string,
 ): { first: number; last: number } | undefined {
-  const [address, bits] = cidr.split("/");
+  const [, address, bits] = /^([^/]*)\/(\d{1,2})$/.exec(cidr) ?? [];
+  if (address === undefined) return undefined;
   const value = parseIpv4(address);
   const prefix = Number(bits);
-  if (value === undefined || !(prefix >= 0 && prefix <= ADDRESS_BITS)) {
-    return undefined;
-  }
+  if (value === undefined || prefix > ADDRESS_BITS) return undefined;
   const size = 2 ** (ADDRESS_BITS - prefix);
   const first = Math.floor(value / size) * size;
   return { first, last: first + size - 1 };
