Say where input is wrong, and show zero and false in explanations

Change: blocks are parsed with their own line numbers, all problems at once; the target's own field is named; only empty fields read "none". The example of the target named the wrong field ("services.1.id" with one service) and now names the target's own, as strictly.

--- a/packages/cli/src/commands/config/config_command.ts
+++ b/packages/cli/src/commands/config/config_command.ts
@@ -4,6 +4,7 @@
 import { readFile } from "node:fs/promises";
 import type { Argv, CommandModule } from "yargs";
 import type { HistoryEntry } from "@bamboolane/agree/read_revision";
+import { parseBlocks } from "@bamboolane/config/parse_blocks";
 import { formatProblem } from "@bamboolane/config/parse_yaml";
 import { parseFleet } from "@bamboolane/config/parse_fleet";
 import type { PublishResult } from "@bamboolane/entry/publish_and_wait";
@@ -36,20 +37,12 @@
  * lines that start with `#`.
  */
 async function readBlocks(file: string): Promise<ClientBlock[]> {
-  const lines = (await readFile(file, "utf8")).split("\n");
-  return lines.map((line) => line.trim()).filter((line) =>
-    line !== "" && !line.startsWith("#")
-  )
-    .map((line, index) => {
-      const [cidr, site] = line.split(/\s+/);
-      if (site === undefined) {
-        throw new SteeringError(
-          ResultCode.invalidConfiguration,
-          `${file}:${index + 1}: expected "CIDR SITE".`,
-        );
-      }
-      return { cidr, site };
-    });
+  const blocks = parseBlocks(await readFile(file, "utf8"), { file });
+  if (blocks.isOk()) return blocks.value;
+  throw new SteeringError(
+    ResultCode.invalidConfiguration,
+    blocks.error.map(formatProblem).join("\n"),
+  );
 }
 
 const checkCommand = {
--- a/packages/cli/src/commands/explain/explain_command.ts
+++ b/packages/cli/src/commands/explain/explain_command.ts
@@ -3,6 +3,7 @@
  */
 import type { CommandModule } from "yargs";
 import { withOperatorOptions } from "../../common_options.ts";
+import { type Fields, formatExplanation } from "../../format_explanation.ts";
 import { callOperator } from "../../operator_client.ts";
 import { type OutputFormat, printResult } from "../../print_result.ts";
 
@@ -17,19 +18,6 @@
   output: OutputFormat;
 }
 
-type Fields = Record<string, string | number | boolean | string[]>;
-
-function formatFields(fields: Fields): string {
-  return Object.entries(fields).map(([name, value]) =>
-    `${name}=${value || "none"}`
-  ).join(" ");
-}
-
-function formatExplanation(value: { decisions: Fields[] } | Fields): string {
-  const list = "decisions" in value ? value.decisions as Fields[] : [value];
-  return list.map(formatFields).join("\n");
-}
-
 /** The command. */
 export const explainCommand: CommandModule = {
   command: "explain",
--- a/packages/config/features/parse_fleet.feature
+++ b/packages/config/features/parse_fleet.feature
@@ -13,7 +13,11 @@
       | an unknown data centre     | services.0.targets.0.dataCentre | not a dataCentre       |
       | an unknown field           |                         | Unrecognized key               |
       | text instead of a number   | defaults.timeoutMillis  | expected number                |
-      | a target given twice       | services.1.id           | given twice                    |
+      | a target given twice       | services.0.targets.1.id | given twice                    |
+
+  Scenario: A malformed line of client blocks is reported with its own line
+    When client blocks have a line without a site after a comment and a blank line
+    Then the problem names line 4 and expects "CIDR SITE"
 
   Scenario: A problem is reported with the line of its field
     When a fleet document with a bad slot count on line 14 is parsed
--- a/packages/config/features/parse_fleet_steps.ts
+++ b/packages/config/features/parse_fleet_steps.ts
@@ -4,6 +4,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { applyExceptions } from "@bamboolane/config/apply_exceptions";
+import { parseBlocks } from "@bamboolane/config/parse_blocks";
 import { parseFleet } from "@bamboolane/config/parse_fleet";
 import { parseSettings } from "@bamboolane/config/parse_settings";
 import type { ConfigProblem } from "@bamboolane/config/parse_yaml";
@@ -121,6 +122,23 @@
   assert.deepEqual(problems.map((p) => p.line), [line]);
 });
 
+When(
+  "client blocks have a line without a site after a comment and a blank line",
+  () => {
+    const text = "# blocks\n10.1.0.0/16 a1\n\n10.2.0.0/16\n";
+    const parsed = parseBlocks(text, { file: "blocks.txt" });
+    problems = parsed.isErr() ? parsed.error : [];
+  },
+);
+
+Then(
+  "the problem names line {int} and expects {string}",
+  (line: number, expected: string) => {
+    assert.deepEqual(problems.map((p) => p.line), [line]);
+    assert.ok(problems[0].expected.includes(expected));
+  },
+);
+
 When("a document with an unclosed bracket is parsed", () => {
   const parsed = parseFleet("regions: [\n", { file: "fleet.yaml" });
   problems = parsed.isErr() ? parsed.error : [];
--- a/packages/config/src/check_fleet.ts
+++ b/packages/config/src/check_fleet.ts
@@ -4,7 +4,7 @@
  * are unique, exceptions change at least one field, and moves lead to another
  * data centre in ascending steps within their cap.
  */
-import type { FleetConfig, Move } from "@bamboolane/types/fleet";
+import type { FleetConfig, Move, ServiceConfig } from "@bamboolane/types/fleet";
 
 /** A violated rule and the path of the field. */
 export interface FleetProblem {
@@ -26,6 +26,22 @@
   });
 }
 
+/** Targets' ids are unique over all services. */
+function checkUniqueTargets(
+  services: readonly ServiceConfig[],
+  report: ReportProblem,
+): void {
+  const seen = new Set<string>();
+  services.forEach((service, i) =>
+    service.targets.forEach(({ id }, j) => {
+      if (seen.has(id)) {
+        report(["services", i, "targets", j, "id"], `"${id}" is given twice`);
+      }
+      seen.add(id);
+    })
+  );
+}
+
 function checkMove(
   move: Move,
   path: PropertyKey[],
@@ -82,8 +98,7 @@
   checkUnique(fleet.services.map((s) => s.id), ["services"], report);
   checkUnique(fleet.exceptions.map((e) => e.id), ["exceptions"], report);
   checkUnique(fleet.moves.map((m) => m.id), ["moves"], report);
-  const targetIds = fleet.services.flatMap((s) => s.targets.map((t) => t.id));
-  checkUnique(targetIds, ["services"], report);
+  checkUniqueTargets(fleet.services, report);
   fleet.links.forEach((link, i) =>
     link.between.forEach((region, j) =>
       requireKnown("region", region, ["links", i, "between", j])
