Report a change that can't be read back as in doubt

An operator was told "nothing was changed" (store-away) about a change that was in force, or might have been told of a conflict with another one. Cause: after a lost answer the history is searched for the change; a revision that couldn't be read counted as the end of the history, as if the change weren't there. An answer of the store that isn't JSON was an unexpected error, not a lost answer. Change: a search knows that it couldn't read, and after an attempt that may have written that is "uncertain"; unreadable answers count as lost ones.

--- a/packages/agree/features/agree.feature
+++ b/packages/agree/features/agree.feature
@@ -14,6 +14,18 @@
     When the answer to a change is lost and the change is resent
     Then revision 2 contains it and there is no revision 3
 
+  Scenario Outline: A change that was written is never refused because it can't be read back
+    Given a published revision
+    When a change is written <how>, and no revision can be read after that
+    Then the change is in doubt
+    When revisions can be read again and the change is resent
+    Then revision 2 contains it and there is no revision 3
+
+    Examples:
+      | how                                  |
+      | without an answer                    |
+      | after its time is up and it is retried |
+
   Scenario: The applied revision never goes back and its freshness is never overstated
     Then random proofs from stale, late and current sources never lower the revision or let an outdated one count as fresh
 
--- a/packages/agree/features/agree_steps.ts
+++ b/packages/agree/features/agree_steps.ts
@@ -156,6 +156,45 @@
   await publishRevision(platform, makeChange("again", { resend: true }));
 });
 
+let publishError: SteeringError | undefined;
+
+/** Publishes a change whose first write has a fault, and keeps the error. */
+async function publishUnreadably(fault: CallFault): Promise<void> {
+  let writes = 0;
+  platform.chooseFault = (kind) => {
+    if (kind !== "write") return "none";
+    platform.objectsUnreadable = true;
+    if (++writes === 1) return fault;
+    platform.applyDelayedCall();
+    return "none";
+  };
+  publishError = undefined;
+  await publishRevision(platform, makeChange("again")).catch((error) => {
+    publishError = error as SteeringError;
+  });
+  platform.chooseFault = () => "none";
+}
+
+When(
+  "a change is written without an answer, and no revision can be read after that",
+  () => publishUnreadably("answer-lost"),
+);
+
+When(
+  "a change is written after its time is up and it is retried, and no revision can be read after that",
+  () => publishUnreadably("late"),
+);
+
+Then("the change is in doubt", () => {
+  assert.equal(publishError?.info, ResultCode.publishInDoubt);
+});
+
+When("revisions can be read again and the change is resent", async () => {
+  platform.objectsUnreadable = false;
+  platform.applyDelayedCall();
+  await publishRevision(platform, makeChange("again", { resend: true }));
+});
+
 Then("revision 2 contains it and there is no revision 3", async () => {
   const { head } = await readHead(platform);
   assert.deepEqual([head?.revision, head?.changeId], [2, "again"]);
--- a/packages/agree/src/publish_revision.ts
+++ b/packages/agree/src/publish_revision.ts
@@ -52,22 +52,30 @@
 /** Revisions searched for a change that was not sent before. */
 const INITIAL_SEARCH_DEPTH = 1;
 
+/** Result of a search of the history for a change. */
+type ChangeSearch =
+  | { kind: "found"; revision: PublishedRevision }
+  | { kind: "absent" }
+  /** A revision that may hold the change can't be read. */
+  | { kind: "unreadable" };
+
 async function findChange(
   platform: Platform,
   head: ConfigHead | undefined,
   options: { changeId: string; depth: number },
-): Promise<PublishedRevision | undefined> {
+): Promise<ChangeSearch> {
   const { changeId } = options;
   let hash = head?.hash ?? "";
   for (let depth = 0; depth < options.depth && hash !== ""; depth++) {
     const body = await readBody(platform, hash);
-    if (body === undefined) return undefined;
+    if (body === undefined) return { kind: "unreadable" };
     if (body.changeId === changeId) {
-      return { head: { revision: body.revision, hash, changeId }, body };
+      const found = { revision: body.revision, hash, changeId };
+      return { kind: "found", revision: { head: found, body } };
     }
     hash = body.previousHash;
   }
-  return undefined;
+  return { kind: "absent" };
 }
 
 function conflict(
@@ -118,7 +126,7 @@
   return { head: row.head, body };
 }
 
-/** Makes one attempt; "uncertain" if the store's answer was lost. */
+/** Makes one attempt; "uncertain" if it isn't known whether the change was written. */
 async function tryPublish(
   platform: Platform,
   change: ConfigChange,
@@ -130,7 +138,16 @@
     ? RESEND_SEARCH_DEPTH
     : INITIAL_SEARCH_DEPTH;
   const existing = await findChange(platform, row.head, { changeId, depth });
-  if (existing) return existing;
+  switch (existing.kind) {
+    case "found":
+      return existing.revision;
+    case "unreadable":
+      // The change may be in force.
+      if (options.mayHaveWritten) return "uncertain";
+      break;
+    case "absent":
+      break;
+  }
   const current = await readCurrent(platform, row);
   if (
     change.baseRevision !== undefined &&
@@ -153,11 +170,20 @@
     throw error;
   }
   const after = await readHead(platform);
-  const found = await findChange(platform, after.head, {
+  const search = await findChange(platform, after.head, {
     changeId,
     depth: RESEND_SEARCH_DEPTH,
   });
-  if (found) return found;
+  switch (search.kind) {
+    case "found":
+      return search.revision;
+    case "unreadable":
+      // An earlier attempt may be what conflicts with this one.
+      if (options.mayHaveWritten) return "uncertain";
+      break;
+    case "absent":
+      break;
+  }
   const winner = after.head && await readBody(platform, after.head.hash);
   throw conflict(change, winner);
 }
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -46,7 +46,13 @@
   if (response.status >= 300) {
     throw new StoreUncertainError(`store returned ${response.status}`);
   }
-  return JSON.parse(new TextDecoder().decode(response.body)) as T;
+  try {
+    return JSON.parse(new TextDecoder().decode(response.body)) as T;
+  } catch (error) {
+    throw new StoreUncertainError(
+      `unreadable response: ${(error as Error).message}`,
+    );
+  }
 }
 
 /**
--- a/packages/test-utils/src/memory_platform.ts
+++ b/packages/test-utils/src/memory_platform.ts
@@ -30,6 +30,8 @@
   #nextVersion = 1;
   /** Returns the fault of the next call. */
   chooseFault: (kind: "read" | "write") => CallFault = () => "none";
+  /** While true, the store has no valid copy of any object. */
+  objectsUnreadable = false;
   /** Number of calls of `transact`, whatever their result. */
   transactions = 0;
 
@@ -60,7 +62,10 @@
 
   readonly objects = {
     read: (hash: string): Promise<Uint8Array | undefined> =>
-      this.#runWithFault("read", () => this.#objects.get(hash)),
+      this.#runWithFault(
+        "read",
+        () => this.objectsUnreadable ? undefined : this.#objects.get(hash),
+      ),
     write: (hash: string, content: Uint8Array): Promise<void> =>
       this.#runWithFault("read", () => void this.#objects.set(hash, content)),
   };
