--- a/packages/entry/src/lookup_handler.ts
+++ b/packages/entry/src/lookup_handler.ts
@@ -1,7 +1,8 @@
 /**
  * Answers look-ups: which entries a caller should use, best first, for how
  * long, and according to which revision. Answers are cached by member, service
- * and home until the revision, the membership or the reachability changes.
+ * and home until the revision, the membership or the reachability changes, and at
+ * most until the end of the UTC day, when exceptions expire.
  */
 import type { ServerResponse } from "node:http";
 import { Buffer } from "node:buffer";
@@ -28,6 +29,7 @@
   client: string;
 }
 
+const DAY_MILLIS = 86_400_000;
 /** Further answers are not cached. */
 const MAX_CACHED_ANSWERS = 10_000;
 
@@ -111,9 +113,14 @@
   }
 
   #clearStaleCache(state: SteeringState): void {
-    const { table } = this.#options;
-    const version =
-      `${state.revision}/${table.membershipVersion}/${this.#unreachableKey()}`;
+    const { context, table } = this.#options;
+    const dayNumber = Math.floor(context.clock.wallMillis() / DAY_MILLIS);
+    const version = [
+      state.revision,
+      table.membershipVersion,
+      dayNumber,
+      this.#unreachableKey(),
+    ].join("/");
     if (version === this.#cacheVersion) return;
     this.#cacheVersion = version;
     this.#cache.clear();
