Count wasted slot time in replays

Cause: a replay's share of wasted slot time was always 0; nothing added to its sums. Change: a simulated target counts the slot time of requests whose deadline passed, and the share is taken over all targets' busy slot time.

--- a/packages/gateway/features/replay.feature
+++ b/packages/gateway/features/replay.feature
@@ -21,3 +21,7 @@
   Scenario: Remote shares change slowly under constant load
     When pattern "heavy" is played by "product" with 8 seeds
     Then no region moves more than 0.15 of its runs from one window to the next
+
+  Scenario: Slot time of requests whose deadline passes counts as wasted
+    When pattern "heavy" is played by "product" and by "no homes" with 3 seeds
+    Then each wastes some of its slot time, and "no homes" more of it
--- a/packages/gateway/features/replay_steps.ts
+++ b/packages/gateway/features/replay_steps.ts
@@ -95,3 +95,13 @@
     assert.ok(shift <= max, `${shift}`);
   },
 );
+
+Then(
+  "each wastes some of its slot time, and {string} more of it",
+  (arm: string) => {
+    const wastedBy = (name: string) =>
+      mean((results.get(name) as ReplayResult[]).map((r) => r.wastedShare));
+    const [more, less] = [wastedBy(arm), wastedBy(otherArm(arm))];
+    assert.ok(0 < less && less < more && more < 1, `${more} against ${less}`);
+  },
+);
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -48,8 +48,6 @@
   readonly #route: SteeringRoute;
   /** Runs by region and window. */
   readonly #windows = new Map<string, WindowRuns[]>();
-  #slotMillis = 0;
-  #wastedMillis = 0;
 
   constructor(
     pattern: LoadPattern,
@@ -95,12 +93,15 @@
     for (const region of regions) this.#scheduleArrivals(region.name);
     this.#clock.runUntil(durationMillis + 2 * deadlineMillis);
     const targets = [...this.#targets.values()];
-    const runs = targets.reduce((sum, target) => sum + target.runs, 0);
-    const warm = targets.reduce((sum, target) => sum + target.warmRuns, 0);
+    const sum = (read: (target: SimulatedTarget) => number) =>
+      targets.reduce((total, target) => total + read(target), 0);
+    const runs = sum((target) => target.runs);
+    const busyMillis = sum((target) => target.busySlotMillis);
     return {
       regions: [...this.#results.values()],
-      warmShare: warm / Math.max(1, runs),
-      wastedShare: this.#wastedMillis / Math.max(1, this.#slotMillis),
+      warmShare: sum((target) => target.warmRuns) / Math.max(1, runs),
+      wastedShare: sum((target) => target.wastedSlotMillis) /
+        Math.max(1, busyMillis),
       windows: this.#windows,
     };
   }
--- a/tools/src/replay/replay_result.ts
+++ b/tools/src/replay/replay_result.ts
@@ -26,10 +26,7 @@
   regions: RegionResult[];
   /** Share of the runs whose object was cached at the target. */
   warmShare: number;
-  /**
-   * Share of the slot time spent on requests whose caller had given up. The
-   * replay doesn't record slot times, so it is always 0.
-   */
+  /** Share of the busy slot time spent on requests whose deadline passed. */
   wastedShare: number;
   /** Runs of each region's requests in windows of 2 s. */
   windows: ReadonlyMap<string, readonly WindowRuns[]>;
--- a/tools/src/replay/simulated_target.ts
+++ b/tools/src/replay/simulated_target.ts
@@ -36,6 +36,8 @@
   isDown = false;
   /** Time for which slots were occupied, over all slots. */
   busySlotMillis = 0;
+  /** Part of it spent on requests whose deadline passed before they were done. */
+  wastedSlotMillis = 0;
   /** Runs whose object was cached. */
   warmRuns = 0;
   runs = 0;
@@ -93,10 +95,9 @@
     this.#clock.after(slotMillis, () => {
       this.#running--;
       this.busySlotMillis += slotMillis;
-      work.onEnd({
-        kind: requiredMillis <= remainingMillis ? "done" : "expired",
-        slotMillis,
-      });
+      const isDone = requiredMillis <= remainingMillis;
+      if (!isDone) this.wastedSlotMillis += slotMillis;
+      work.onEnd({ kind: isDone ? "done" : "expired", slotMillis });
       this.#startNext();
     });
   }
