Measure the links bench's share of the link in the flood only

Cause: bytes of the quiet phase were counted over the time of the flood. Change: bytes that left the link are read when the flood starts and when it ends.

--- a/tools/src/bench/links_bench.ts
+++ b/tools/src/bench/links_bench.ts
@@ -45,10 +45,10 @@
     await wait(this.#freeAtMillis - sentAtMillis + LATENCY_MILLIS);
   }
 
-  /** Bytes waiting in the link's queue. */
-  queuedBytes(): number {
-    return Math.max(0, this.#freeAtMillis - performance.now()) *
-      LINK_BYTES_PER_SECOND / 1000;
+  /** Bytes that have left the link's queue. */
+  get transmittedBytes(): number {
+    const queuedMillis = Math.max(0, this.#freeAtMillis - performance.now());
+    return this.sentBytes - queuedMillis * LINK_BYTES_PER_SECOND / 1000;
   }
 }
 
@@ -92,11 +92,12 @@
       toMillis,
     },
   ], options.seed);
-  let sentBytesAtEnd = 0;
+  const transmittedBytes = { atFloodStart: 0, atEnd: 0 };
   setTimeout(
-    () => sentBytesAtEnd = link.sentBytes - link.queuedBytes(),
-    toMillis,
+    () => transmittedBytes.atFloodStart = link.transmittedBytes,
+    QUIET_MILLIS,
   );
+  setTimeout(() => transmittedBytes.atEnd = link.transmittedBytes, toMillis);
   const completed = await playArrivals(arrivals, async ({ kind }) => {
     await sendAnswer(link, kind as Lane, budget);
     return { target: "" };
@@ -115,7 +116,8 @@
     p99Millis: round(flood),
     ratio: round(flood / quiet),
     linkShare: round(
-      sentBytesAtEnd * 1000 / (toMillis - QUIET_MILLIS) / LINK_BYTES_PER_SECOND,
+      (transmittedBytes.atEnd - transmittedBytes.atFloodStart) * 1000 /
+        (toMillis - QUIET_MILLIS) / LINK_BYTES_PER_SECOND,
     ),
   };
   return result;
