Reset a caller's connection when an answer without length or chunks breaks off

A caller of HTTP/1.0 of `bamboolane entry` took a streamed answer that broke off for a complete one, as callers of the gateway did. Cause: the connection was closed with a plain end, which is the end of such answers. Change: without chunks, the connection is reset.

--- a/packages/entry/src/answer_writer.ts
+++ b/packages/entry/src/answer_writer.ts
@@ -86,11 +86,19 @@
     }
     response.end();
   } catch (error) {
-    response.destroy();
+    cutAnswer(response);
     throw error;
   }
 }
 
+/** Ends an answer that was begun, so that it can't look complete. */
+function cutAnswer(response: ServerResponse): void {
+  const { socket } = response;
+  // Without chunks, the end of the connection is the end of the answer.
+  if (socket && !response.chunkedEncoding) socket.resetAndDestroy();
+  else response.destroy();
+}
+
 /**
  * Writes a refusal or failure that the entry itself produced. If an answer was
  * already begun, the connection is destroyed instead.
@@ -100,10 +108,7 @@
   failure: SteeringError,
   ids: AnswerIds,
 ): void {
-  if (response.headersSent || response.destroyed) {
-    response.destroy();
-    return;
-  }
+  if (response.headersSent || response.destroyed) return cutAnswer(response);
   const body = JSON.stringify({ ...failure.toBody(), request: ids.request });
   response.writeHead(failure.info.status, {
     "content-type": "application/json",
