Don't take a reset answer without a length for a complete one

`bamboolane entry` forwarded an answer that ends with its connection as complete, though the target had reset the connection halfway. Cause: when a reset arrives with the last bytes, Node reports a plain end. An answer without length or chunks is complete only if its connection was closed cleanly.

--- a/packages/entry/features/target_client.feature
+++ b/packages/entry/features/target_client.feature
@@ -19,3 +19,13 @@
     When a request is sent to it
     Then it was refused as not run
     And the target's connection is closed after at most 8000 kB
+
+  Scenario: An answer without a length that ends with its connection is complete
+    Given a target that sends an answer without a length and closes
+    When a request is sent to it
+    Then the answer was read to its end
+
+  Scenario: An answer without a length that is reset at its end is not complete
+    Given a target that sends half an answer without a length and resets
+    When a request is sent to it
+    Then reading the answer failed
--- a/packages/entry/features/target_client_steps.ts
+++ b/packages/entry/features/target_client_steps.ts
@@ -27,6 +27,8 @@
 let client: TargetClient | undefined;
 let results: (TargetResponse | SteeringError)[] = [];
 let endlessBytes = 0;
+/** Why the last answer could not be read to its end. */
+let readError: Error | undefined;
 
 After(async () => {
   client?.close();
@@ -85,6 +87,25 @@
   () => startTarget((_received, socket) => sendEndlessly(socket)),
 );
 
+Given(
+  "a target that sends an answer without a length and closes",
+  () =>
+    startTarget((_received, socket) => {
+      socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+    }),
+);
+
+Given(
+  "a target that sends half an answer without a length and resets",
+  () =>
+    startTarget((_received, socket) => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+        () => socket.resetAndDestroy(),
+      );
+    }),
+);
+
 function makeWork(index: number): Work {
   const attempts = newAttemptRecord();
   attempts.dispatches = 1;
@@ -108,9 +129,7 @@
       refusal: REFUSAL,
       drainHeader: "x-draining",
     });
-    for await (const _chunk of response.body) {
-      // Reads the answer, so that its connection is used again.
-    }
+    await readToEnd(response);
     results.push(response);
   } catch (error) {
     assert.ok(error instanceof SteeringError, String(error));
@@ -118,6 +137,18 @@
   }
 }
 
+/** Reads the answer, so that its connection is used again. */
+async function readToEnd(response: TargetResponse): Promise<void> {
+  readError = undefined;
+  try {
+    for await (const _chunk of response.body) {
+      // Only the end matters.
+    }
+  } catch (error) {
+    readError = error as Error;
+  }
+}
+
 When("two requests are sent to it one after another", async () => {
   await send(0);
   // The pool learns a moment later that the connection is free again.
@@ -138,6 +169,15 @@
   assert.deepEqual(connections, [1, 1]);
 });
 
+Then("the answer was read to its end", () => {
+  assert.ok(!(results[0] instanceof SteeringError), String(results[0]));
+  assert.equal(readError, undefined);
+});
+
+Then("reading the answer failed", () => {
+  assert.ok(readError, "the answer looks complete");
+});
+
 Then("it was refused as not run", () => {
   const [first] = results;
   assert.ok(first instanceof SteeringError);
--- a/packages/entry/src/target_client.ts
+++ b/packages/entry/src/target_client.ts
@@ -14,6 +14,7 @@
 import type { NotRunRefusal } from "@bamboolane/types/fleet";
 import type { RequestBody, Work } from "./answer.ts";
 import type { CancelSignal } from "./cancellation.ts";
+import { ProbedClient, type SentBy } from "./probed_client.ts";
 
 /** Response of a target whose body is not read yet. */
 export interface TargetResponse {
@@ -74,6 +75,9 @@
   return pairs;
 }
 
+/** Statuses of answers that never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 const CONNECT_ERROR_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
@@ -100,13 +104,30 @@
 }
 
 function isRefusal(
-  response: Dispatcher.ResponseData,
+  response: Dispatcher.ResponseData<unknown>,
   refusal: NotRunRefusal,
 ): boolean {
   return response.statusCode === refusal.status &&
     response.headers[refusal.header] === refusal.value;
 }
 
+/** True if the end of the answer can be told without the end of its connection. */
+function isFramed(response: Dispatcher.ResponseData<unknown>): boolean {
+  return response.headers["content-length"] !== undefined ||
+    response.headers["transfer-encoding"] === "chunked" ||
+    BODILESS_STATUSES.has(response.statusCode);
+}
+
+/** Passes an answer without a length on; throws at its end if the connection was reset. */
+async function* readUnframed(
+  body: AsyncIterable<Uint8Array>,
+  client: ProbedClient | undefined,
+): AsyncGenerator<Uint8Array> {
+  yield* body;
+  if (await client?.closedCleanly()) return;
+  throw new Error("the connection was reset at the end of the answer");
+}
+
 function toHeaderPairs(
   headers: Dispatcher.ResponseData["headers"],
 ): HeaderPair[] {
@@ -129,9 +150,13 @@
   constructor(address: string, options: { slots: number }) {
     this.#address = address;
     this.#pool = new Pool(`http://${address}`, {
+      factory: (origin, clientOptions) =>
+        new ProbedClient(origin, {
+          ...clientOptions,
+          connectTimeout: CONNECT_TIMEOUT_MILLIS,
+        }),
       connections: options.slots * 2,
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MILLIS,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -152,13 +177,15 @@
       TIMEOUT_HEADER,
       String(Math.max(1, Math.floor(options.remainingMillis))),
     );
-    let response: Dispatcher.ResponseData;
+    const sentBy: SentBy = { client: undefined };
+    let response: Dispatcher.ResponseData<SentBy>;
     try {
       response = await this.#pool.request({
         method: work.info.method as Dispatcher.HttpMethod,
         path: work.info.path,
         headers,
         body: toDispatchBody(work.body),
+        opaque: sentBy,
         // undici uses only the listener methods and `aborted`.
         signal: options.signal as AbortSignal,
       });
@@ -186,7 +213,9 @@
     return {
       status: response.statusCode,
       headers: toHeaderPairs(response.headers),
-      body: response.body as AsyncIterable<Uint8Array>,
+      body: isFramed(response)
+        ? response.body as AsyncIterable<Uint8Array>
+        : readUnframed(response.body, sentBy.client),
       destroy: () => response.body.destroy(),
       draining,
     };
