--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -15,10 +15,11 @@
 /** Answers up to this size are buffered until they are complete; larger ones are streamed. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 /**
- * A refusal is known from its head. Its body is read only so that the connection
- * can be reused, unless it is longer than this or takes longer than that.
+ * A refusal is known from its head; its body is read only so that the connection
+ * can be reused. A longer body is not worth that.
  */
 const MAX_REFUSAL_BYTES = 16_384;
+/** How long the body of a refusal may take, for the same reason. */
 const REFUSAL_BODY_TIMEOUT_MILLIS = 100;
 
 /** Result of one attempt. */
