Compare the store's versions within an era only

Callers saw: requests handled by a configuration that was replaced seconds ago, 404 for routes that were added, requests to draining targets and evacuated data centres. Cause: a store that is restored from a copy counts its versions on from the copy. The class of fault: an order that holds within one history is used across two. Change: a state version combines the number of restores (Store-Era) with the store's version.

--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -11,6 +11,7 @@
   MemberView,
 } from "@bamboolane/steering/member_view";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 import { WorkTimeEstimate } from "@bamboolane/steering/work_time_estimate";
 import {
   allocateRate,
@@ -320,7 +321,7 @@
     this.#log.info("config_applied", {
       revision: config.revision,
       from,
-      version: row.version,
+      version: formatStateVersion(row.version),
       routes: config.routes.length,
     });
   }
@@ -341,7 +342,7 @@
     if ((known?.active ?? false) === row.active) return;
     this.#log.info(row.active ? "evacuated" : "evacuation_over", {
       dataCentre: row.dataCentre,
-      version: row.version,
+      version: formatStateVersion(row.version),
     });
     if (!row.active) this.#markTargetsCold(row.dataCentre, nowMillis);
   }
@@ -368,7 +369,7 @@
     if (change === "none") return;
     this.#log.info(`target_${change}`, {
       target: row.id,
-      version: row.version,
+      version: formatStateVersion(row.version),
       service: row.record?.service,
       dataCentre: row.record?.dataCentre,
       draining: row.record?.draining,
@@ -397,7 +398,7 @@
       }, options.nowMillis);
       this.#log.info("target_missing", {
         target: id,
-        version: options.version,
+        version: formatStateVersion(options.version),
       });
     }
   }
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -4,6 +4,7 @@
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 import type { TargetState } from "@bamboolane/steering/target_state";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
@@ -50,7 +51,7 @@
     service: request.service,
     outcome,
     target: target?.record.id,
-    targetVersion: target?.version,
+    targetVersion: target && formatStateVersion(target.version),
     inFlight: target?.inFlight(nowMillis),
     revision: state.config?.revision,
     sends: request.sends,
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
 import type { Placement } from "@bamboolane/steering/place_request";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 import { RepeatPolicy } from "@bamboolane/steering/steering_config";
 import {
   AttemptResult,
@@ -228,7 +229,7 @@
     log.info("send", {
       request: request.id,
       target: record.id,
-      targetVersion: target.version,
+      targetVersion: formatStateVersion(target.version),
       inFlight,
       slots: record.slots,
       load: roundLoad(
--- a/packages/gateway/src/state_store.ts
+++ b/packages/gateway/src/state_store.ts
@@ -17,7 +17,7 @@
 /** One of {@link StateTable}. */
 export type StateTable = typeof StateTable[keyof typeof StateTable];
 
-/** All rows of a table as of one version. */
+/** All rows of a table as of one state version. */
 export interface TableSnapshot {
   rows: StateRow[];
   version: number;
@@ -26,7 +26,10 @@
 /** Result of a watch. */
 export type WatchResult =
   | { kind: "changes"; rows: StateRow[]; version: number }
-  /** The history since the requested version is no longer kept. */
+  /**
+   * The history since the requested version is no longer kept, or the store was
+   * restored since.
+   */
   | { kind: "gap" };
 
 /** The store. Calls reject with {@link StoreError}. */
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -5,6 +5,7 @@
  * version comes from a stale replica, and the read is repeated.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 import type { StateRow } from "@bamboolane/steering/steering_config";
 import type { StateStore, StateTable } from "./state_store.ts";
 
@@ -114,8 +115,8 @@
     if (snapshot.version < this.#version) {
       log.info("stale_read", {
         table,
-        version: snapshot.version,
-        known: this.#version,
+        version: formatStateVersion(snapshot.version),
+        known: formatStateVersion(this.#version),
       });
       return false;
     }
@@ -133,7 +134,10 @@
     this.#recordSuccess();
     switch (result.kind) {
       case "gap":
-        log.info("history_gap", { table, version: this.#version });
+        log.info("history_gap", {
+          table,
+          version: formatStateVersion(this.#version),
+        });
         return true;
       case "changes":
         if (result.rows.length > 0) {
@@ -163,7 +167,7 @@
     this.#options.log.warn("store_lost", {
       table: this.#options.table,
       error: error.message,
-      version: this.#version,
+      version: formatStateVersion(this.#version),
       ageMillis: Math.round(performance.now() - this.#lastSuccessAtMillis),
     });
   }
--- a/packages/steering/src/steering_config.ts
+++ b/packages/steering/src/steering_config.ts
@@ -102,7 +102,7 @@
   stateAddress: string;
 }
 
-/** One row of the state store; `version` grows with each change in the store. */
+/** One row of the state store; `version` is a state version, see state_version.ts. */
 export type StateRow =
   | { kind: "config"; version: number; config: SteeringConfig }
   | {
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -9,6 +9,11 @@
   type TableSnapshot,
   type WatchResult,
 } from "@bamboolane/gateway/state_store";
+import {
+  eraOf,
+  storeVersionOf,
+  toStateVersion,
+} from "@bamboolane/steering/state_version";
 import type {
   EntryRecord,
   StateRow,
@@ -22,10 +27,19 @@
   ? R extends StateRow ? Omit<R, "version"> : never
   : never;
 
+/** Copy of a store's rows, from which it can be restored. */
+export interface StoreCopy {
+  rows: ReadonlyMap<string, { table: StateTable; row: StateRow }>;
+  version: number;
+}
+
 /** Rows of the store, shared by the clients of several gateways. */
 export class MemoryStateStore {
-  readonly #rows = new Map<string, { table: StateTable; row: StateRow }>();
+  /** Rows by table and key, with the store's own versions. */
+  #rows = new Map<string, { table: StateTable; row: StateRow }>();
   #version = 0;
+  /** Number of restores. */
+  #era = 0;
   /** Oldest version whose changes are still in the history. */
   #oldestVersion = 0;
   /** Clients for which the store is unavailable. */
@@ -43,6 +57,17 @@
     return this.#version;
   }
 
+  copy(): StoreCopy {
+    return { rows: new Map(this.#rows), version: this.#version };
+  }
+
+  /** Goes back to a copy; versions continue from it. */
+  restore(copy: StoreCopy): void {
+    this.#rows = new Map(copy.rows);
+    this.#version = copy.version;
+    this.#era++;
+  }
+
   /** Discards the history, so that watches from an earlier version report a gap. */
   compact(): void {
     this.#oldestVersion = this.#version + 1;
@@ -76,7 +101,7 @@
           }
           return {
             rows: this.#rowsChangedAfter(table, 0).filter(exists),
-            version: this.#version,
+            version: this.#stateVersion(this.#version),
           };
         });
       },
@@ -86,11 +111,19 @@
         try {
           while (true) {
             assertAvailable();
-            if (afterVersion < this.#oldestVersion - 1) return { kind: "gap" };
-            const rows = this.#rowsChangedAfter(table, afterVersion);
+            const after = storeVersionOf(afterVersion);
+            if (
+              eraOf(afterVersion) !== this.#era || after > this.#version ||
+              after < this.#oldestVersion - 1
+            ) return { kind: "gap" };
+            const rows = this.#rowsChangedAfter(table, after);
             const expired = closed || performance.now() > endMillis;
             if (rows.length > 0 || expired) {
-              return { kind: "changes", rows, version: this.#version };
+              return {
+                kind: "changes",
+                rows,
+                version: this.#stateVersion(this.#version),
+              };
             }
             await new Promise((resolve) =>
               setTimeout(resolve, POLL_INTERVAL_MILLIS)
@@ -122,6 +155,10 @@
     };
   }
 
+  #stateVersion(version: number): number {
+    return toStateVersion({ era: this.#era, version });
+  }
+
   #adjustWatchCount(client: string, change: number): void {
     this.#openWatches.set(
       client,
@@ -132,7 +169,7 @@
   #rowsChangedAfter(table: StateTable, after: number): StateRow[] {
     return [...this.#rows.values()]
       .filter((stored) => stored.table === table && stored.row.version > after)
-      .map(({ row }) => row)
+      .map(({ row }) => ({ ...row, version: this.#stateVersion(row.version) }))
       .sort((a, b) => a.version - b.version);
   }
 }
