--- a/packages/gateway/features/restore.feature
+++ b/packages/gateway/features/restore.feature
@@ -39,3 +39,16 @@
     And the store is restored from the copy
     And "t1" begins to drain
     Then "e2" knows within 2 s that "t1" drains
+
+  Scenario Outline: A target that the restored store lacks is removed after the grace period
+    Given an entry "e1"
+    And a copy of the store
+    When a target "t3" starts
+    And <restore>
+    Then "e1" still has "t3" for 1500 ms
+    And "t3" is removed from "e1" within 2 s
+
+    Examples:
+      | restore                                                                   |
+      | the store is restored from the copy                                       |
+      | the store is restored from the copy without an outage that entries notice |
--- a/packages/gateway/features/restore_steps.ts
+++ b/packages/gateway/features/restore_steps.ts
@@ -48,6 +48,11 @@
   await untilKnown(id);
 });
 
+When(
+  "the store is restored from the copy without an outage that entries notice",
+  () => world.system.store.restore(copy),
+);
+
 When("the store is restored from the copy", async () => {
   const { store, entries } = world.system;
   for (const entry of entries.keys()) store.setUnavailable(entry, true);
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -11,7 +11,7 @@
   MemberView,
 } from "@bamboolane/steering/member_view";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
-import { formatStateVersion } from "@bamboolane/steering/state_version";
+import { eraOf, formatStateVersion } from "@bamboolane/steering/state_version";
 import { WorkTimeEstimate } from "@bamboolane/steering/work_time_estimate";
 import {
   allocateRate,
@@ -68,6 +68,8 @@
   readonly #evacuated = new Map<string, { version: number; active: boolean }>();
   /** Version of the newest snapshot of the operator's rows. */
   #operatorSnapshotVersion = 0;
+  /** Era of each table's newest snapshot. */
+  readonly #eras = new Map<StateTable, number>();
   #config: SteeringConfig | undefined;
   #routes = new RouteIndex([]);
   #services = new Map<string, SteeringService>();
@@ -123,6 +125,7 @@
     rows: readonly StateRow[],
     options: { version: number; nowMillis: number },
   ): void {
+    this.#recordEra(table, options);
     this.apply(rows, options.nowMillis);
     switch (table) {
       case StateTable.targets:
@@ -136,6 +139,26 @@
     }
   }
 
+  /**
+   * Counts a restore of the store as the end of an outage, also where no call failed
+   * meanwhile: records may be missing because the copy was older than they are.
+   */
+  #recordEra(
+    table: StateTable,
+    { version, nowMillis }: { version: number; nowMillis: number },
+  ): void {
+    const era = eraOf(version);
+    const known = this.#eras.get(table) ?? era;
+    this.#eras.set(table, Math.max(era, known));
+    if (era <= known) return;
+    this.recordStoreRecovery(nowMillis);
+    this.#log.warn("store_restored", {
+      table,
+      era,
+      version: formatStateVersion(version),
+    });
+  }
+
   /** Number of targets that name a request limit. */
   get limitedTargetCount(): number {
     let count = 0;
