Keep what is known to be newer than a restored store's copy

Cause: once a restored store is followed, its copy is believed. A target that drains or has left counted as ready again, and its earlier incarnation replaced the later one; an evacuation ended, or began again, until it was written anew. The class of fault: the store's word is taken for the writer's. Change: targets count their records, so an older one of a running target is ignored and a drain is never taken back. The record of an ended target is held back for 5 s, in which the store notices its silence, and believed after that, since a target that came back writes no new record. Other entries get what holds here.

--- a/packages/gateway/features/restore_steps.ts
+++ b/packages/gateway/features/restore_steps.ts
@@ -7,7 +7,7 @@
 import type { StoreCopy } from "@bamboolane/standins/memory_state_store";
 import { gatewayOf, pause, world } from "./support/scenario.ts";
 import { answerValidly } from "./support/target_answers.ts";
-import { until } from "./support/test_gateway.ts";
+import { until, untilWithin } from "./support/test_gateway.ts";
 
 let copy: StoreCopy;
 /** Entries that the store refuses also after a restore. */
@@ -76,12 +76,60 @@
 
 Then(
   "{string} still has {string} for {int} ms",
-  async (entry: string, id: string, millis: number) => {
+  (entry: string, id: string, millis: number) => {
     const { targets } = gatewayOf(entry).state;
-    const endMillis = performance.now() + millis;
-    while (performance.now() < endMillis) {
-      assert.equal(targets.get(id)?.isLeaving(), false);
-      await pause(20);
-    }
+    return holdsFor(
+      millis,
+      () => assert.equal(targets.get(id)?.isLeaving(), false),
+    );
+  },
+);
+
+/** Fails unless `check` holds for all of the time. */
+async function holdsFor(millis: number, check: () => void): Promise<void> {
+  const endMillis = performance.now() + millis;
+  while (performance.now() < endMillis) {
+    check();
+    await pause(20);
+  }
+}
+
+Then(
+  "{string} counts as draining at {string} for {int} ms",
+  (id: string, entry: string, millis: number) => {
+    const { targets } = gatewayOf(entry).state;
+    return holdsFor(
+      millis,
+      () => assert.equal(targets.get(id)?.isLeaving(), true),
+    );
+  },
+);
+
+Then(
+  "{string} has no {string} for {int} ms",
+  (entry: string, id: string, millis: number) => {
+    const { targets } = gatewayOf(entry).state;
+    return holdsFor(millis, () => assert.equal(targets.get(id), undefined));
+  },
+);
+
+Then(
+  "{string} has {string} within {int} s",
+  (entry: string, id: string, seconds: number) =>
+    untilWithin(
+      () => gatewayOf(entry).state.targets.get(id) !== undefined,
+      { seconds, description: `${entry} has ${id}` },
+    ),
+);
+
+Then(
+  /^data centre "(.*)" stays (evacuated|in use) at "(.*)" for (\d+) ms$/,
+  (dataCentre: string, expected: string, entry: string, millis: string) => {
+    const { state } = gatewayOf(entry);
+    return holdsFor(Number(millis), () =>
+      assert.equal(
+        state.isEvacuated(dataCentre) ? "evacuated" : "in use",
+        expected,
+      ));
   },
 );
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -114,6 +114,7 @@
   readonly targets = new Map<string, ScriptedTarget>();
   /** Data centres of the targets, by id. */
   readonly #targetDataCentres = new Map<string, string>();
+  #latestSequence = 0;
   /** Log text of all entries. */
   logText = "";
 
@@ -149,6 +150,7 @@
         draining,
         warmupLeftMillis: 0,
         bornMillis: 1,
+        sequence: ++this.#latestSequence,
       },
     });
   }
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -2,6 +2,10 @@
  * State of one entry, and the rules by which published rows change it. The
  * request path reads it; the table followers and the peer task write it.
  */
+import {
+  type AppliedEvacuation,
+  EvacuationRegistry,
+} from "@bamboolane/steering/evacuation_registry";
 import { CrashTracker } from "@bamboolane/route/crash_tracker";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { PeerShares } from "@bamboolane/steering/peer_shares";
@@ -29,7 +33,10 @@
   SteeringService,
 } from "@bamboolane/steering/steering_config";
 import type { TargetState } from "@bamboolane/steering/target_state";
-import { TargetRegistry } from "@bamboolane/steering/target_registry";
+import {
+  type TargetChange,
+  TargetRegistry,
+} from "@bamboolane/steering/target_registry";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LatestRows } from "./latest_rows.ts";
 import { StateTable } from "./state_store.ts";
@@ -65,9 +72,7 @@
   });
   readonly #settings: GatewaySettings;
   readonly #log: EventLog;
-  readonly #evacuated = new Map<string, { version: number; active: boolean }>();
-  /** Version of the newest snapshot of the operator's rows. */
-  #operatorSnapshotVersion = 0;
+  readonly #evacuations = new EvacuationRegistry();
   /** Era of each table's newest snapshot. */
   readonly #eras = new Map<StateTable, number>();
   #config: SteeringConfig | undefined;
@@ -132,7 +137,9 @@
         this.#retainTargets(rows, options);
         return this.latestRows.recordSnapshot([0, options.version]);
       case StateTable.operator:
-        this.#retainEvacuations(rows, options);
+        for (const applied of this.#evacuations.retain(rows, options)) {
+          this.#applyEvacuation(applied, options.nowMillis);
+        }
         return this.latestRows.recordSnapshot([options.version, 0]);
       case StateTable.entries:
         return this.#retainMembers(rows, options);
@@ -169,7 +176,7 @@
   }
 
   isEvacuated(dataCentre: string): boolean {
-    return this.#evacuated.get(dataCentre)?.active ?? false;
+    return this.#evacuations.isActive(dataCentre);
   }
 
   matchRoute(host: string, path: string): SteeringRoute | undefined {
@@ -304,11 +311,22 @@
     };
   }
 
-  /** Removes targets whose grace period is over, and discards old removals. */
+  /** Ends grace periods and holds that are over, and discards old removals. */
   removeExpired(nowMillis: number): void {
-    for (const id of this.targets.expire(nowMillis)) {
+    const { removed, released } = this.targets.expire(nowMillis);
+    for (const id of removed) {
       this.#log.info("target_gone", { target: id, cause: "lapsed" });
     }
+    for (const { id, version, record } of released) {
+      this.latestRows.set({ kind: "target", id, version, record }, nowMillis);
+      this.#log.info("target_released", {
+        target: id,
+        version: formatStateVersion(version),
+      });
+    }
+    for (const applied of this.#evacuations.expire(nowMillis)) {
+      this.#applyEvacuation(applied, nowMillis);
+    }
     this.latestRows.removeExpired(nowMillis);
   }
 
@@ -317,7 +335,10 @@
       case "config":
         return this.#applyConfig(row, nowMillis);
       case "evacuation":
-        return this.#applyEvacuation(row, nowMillis);
+        return this.#applyEvacuation({
+          row,
+          change: this.#evacuations.apply(row, nowMillis),
+        }, nowMillis);
       case "target":
         return this.#applyTarget(row, nowMillis);
       case "entry":
@@ -350,24 +371,29 @@
   }
 
   #applyEvacuation(
-    row: StateRow & { kind: "evacuation" },
+    { row, change }: AppliedEvacuation,
     nowMillis: number,
   ): void {
-    const known = this.#evacuated.get(row.dataCentre);
-    // An evacuation that a newer snapshot lacks had ended by then.
-    const newest = known?.version ?? this.#operatorSnapshotVersion;
-    if (row.version <= newest) return;
-    this.#evacuated.set(row.dataCentre, {
-      version: row.version,
-      active: row.active,
-    });
-    this.latestRows.set(row, nowMillis);
-    if ((known?.active ?? false) === row.active) return;
-    this.#log.info(row.active ? "evacuated" : "evacuation_over", {
-      dataCentre: row.dataCentre,
-      version: formatStateVersion(row.version),
-    });
-    if (!row.active) this.#markTargetsCold(row.dataCentre, nowMillis);
+    switch (change) {
+      case "stale":
+        return;
+      case "held":
+        return this.#log.info("evacuation_held", {
+          dataCentre: row.dataCentre,
+          active: row.active,
+          version: formatStateVersion(row.version),
+        });
+      case "none":
+        return this.latestRows.set(row, nowMillis);
+      case "begun":
+      case "ended":
+        this.latestRows.set(row, nowMillis);
+        this.#log.info(row.active ? "evacuated" : "evacuation_over", {
+          dataCentre: row.dataCentre,
+          version: formatStateVersion(row.version),
+        });
+        if (!row.active) this.#markTargetsCold(row.dataCentre, nowMillis);
+    }
   }
 
   /**
@@ -388,8 +414,8 @@
       storeRecoveredAtMillis: this.storeRecoveredAtMillis,
     });
     if (change === "stale") return;
-    this.latestRows.set(row, nowMillis);
-    if (change === "none") return;
+    this.latestRows.set(this.#rowForPeers(row, change), nowMillis);
+    if (change === "none" || change === "outdated") return;
     this.#log.info(`target_${change}`, {
       target: row.id,
       version: formatStateVersion(row.version),
@@ -400,6 +426,21 @@
     });
   }
 
+  /** The row as other entries get it: what holds here, not what a restored store says. */
+  #rowForPeers(
+    row: StateRow & { kind: "target" },
+    change: TargetChange,
+  ): StateRow {
+    switch (change) {
+      case "outdated":
+        return { ...row, record: this.targets.get(row.id)?.record };
+      case "held":
+        return { ...row, record: undefined };
+      default:
+        return row;
+    }
+  }
+
   #retainTargets(
     rows: readonly StateRow[],
     options: { version: number; nowMillis: number },
@@ -439,30 +480,4 @@
     if (!this.members.isComplete) this.#membersReadAtMillis = options.nowMillis;
     this.members.isComplete = true;
   }
-
-  #retainEvacuations(
-    rows: readonly StateRow[],
-    options: { version: number; nowMillis: number },
-  ): void {
-    this.#operatorSnapshotVersion = Math.max(
-      this.#operatorSnapshotVersion,
-      options.version,
-    );
-    const listed = new Set<string>();
-    for (const row of rows) {
-      if (row.kind === "evacuation" && row.active) listed.add(row.dataCentre);
-    }
-    for (const [dataCentre, known] of this.#evacuated) {
-      if (!known.active || listed.has(dataCentre)) continue;
-      if (known.version > options.version) continue;
-      // Newer than the snapshot's rows, older than any later row: the store's
-      // versions are whole numbers.
-      this.#applyEvacuation({
-        kind: "evacuation",
-        version: options.version + 0.5,
-        dataCentre,
-        active: false,
-      }, options.nowMillis);
-    }
-  }
 }
--- a/packages/steering/features/limit_steps.ts
+++ b/packages/steering/features/limit_steps.ts
@@ -227,6 +227,7 @@
         draining: false,
         warmupLeftMillis: 0,
         bornMillis: 1,
+        sequence: 0,
       }, { version: 1, nowMillis: 0 });
       const atMillis = i < recent ? nowMillis - 100 : 1000;
       const observation = { perSecond: 5, observedAtMillis: atMillis };
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -59,6 +59,7 @@
     draining: false,
     warmupLeftMillis: 0,
     bornMillis: 1,
+    sequence: 0,
     ...changes,
   };
 }
@@ -313,7 +314,10 @@
   assert.equal(LAPSE_GRACE_MILLIS, 2000);
   registry.expire(LAPSED_AT_MILLIS + 1900);
   assert.equal(registry.get("t")?.isLeaving(), false);
-  assert.deepEqual(registry.expire(LAPSED_AT_MILLIS + 2000), ["t"]);
+  assert.deepEqual(
+    registry.expire(LAPSED_AT_MILLIS + 2000).removed,
+    ["t"],
+  );
   assert.equal(registry.get("t"), undefined);
 });
 
@@ -351,6 +355,7 @@
   (seconds: number) => {
     const newRecord = record("t", {
       bornMillis: 2,
+      sequence: 0,
       warmupLeftMillis: seconds * 1000,
     });
     registry.apply({ id: "t", version: 2, record: newRecord }, {
--- a/packages/steering/src/steering_config.ts
+++ b/packages/steering/src/steering_config.ts
@@ -85,6 +85,8 @@
   warmupLeftMillis: number;
   /** Start of this incarnation on the target's wall clock; 0 if unknown. */
   bornMillis: number;
+  /** Grows with each record that the incarnation writes; 0 if unknown. */
+  sequence: number;
 }
 
 /** An entry as it registered itself. */
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -6,17 +6,35 @@
  * there while its target is still running. Such a target counts as lapsed and
  * stays usable for a grace period. At any other time a missing record means that
  * the target no longer exists.
+ *
+ * A store that was restored from a copy may list records that are older than the
+ * known ones. Those of running targets are ignored, as targets count their
+ * records. A target that is known to have ended is held back until the restored
+ * store had the time to notice its end too.
  */
+import { eraOf } from "./state_version.ts";
 import type { TargetRecord } from "./steering_config.ts";
 import { TargetState } from "./target_state.ts";
 
 /** Grace period of lapsed targets: they register again within this time after an outage. */
 export const LAPSE_GRACE_MILLIS = 2000;
 
+/**
+ * How long a record of an ended target is held back after a restore: a store
+ * removes the records of silent targets within it.
+ */
+export const RESTORED_RECORD_HOLD_MILLIS = 5000;
+/**
+ * How long the end of an incarnation is remembered; exceeds the age of the copies
+ * that a store is restored from.
+ */
+const ENDED_RETENTION_MILLIS = 60_000;
+
 /**
  * Effect of a row: `changed` if the target began or stopped draining,
  * `replaced` for a new incarnation, `none` for a newer row without a relevant
- * change, `stale` for a row that is not newer.
+ * change, `stale` for a row that is not newer, `outdated` for a restored row that
+ * is older than the known record, `held` for a restored row of an ended target.
  */
 export type TargetChange =
   | "added"
@@ -25,7 +43,25 @@
   | "removed"
   | "lapsed"
   | "none"
-  | "stale";
+  | "stale"
+  | "outdated"
+  | "held";
+
+/** A row of the targets table. */
+export interface TargetRow {
+  id: string;
+  version: number;
+  /** Undefined for a removed or unreadable record. */
+  record: TargetRecord | undefined;
+}
+
+/** What {@link TargetRegistry.expire} changed. */
+export interface ExpiredTargets {
+  /** Ids of lapsed targets whose grace period is over; they were removed. */
+  removed: string[];
+  /** Rows that are no longer held back; their targets were added. */
+  released: TargetRow[];
+}
 
 /** Targets by id and by service. */
 export class TargetRegistry {
@@ -37,20 +73,32 @@
   readonly #removedAtVersion = new Map<string, number>();
   /** Ids of targets whose record is missing, with the end of their grace period. */
   readonly #lapsed = new Map<string, number>();
+  /** Last records of ended incarnations, by id. */
+  readonly #ended = new Map<
+    string,
+    { record: TargetRecord; forgetAtMillis: number }
+  >();
+  /** Restored rows of ended targets, by id, until they are believed. */
+  readonly #held = new Map<string, { row: TargetRow; untilMillis: number }>();
   #complete = false;
 
   /** Applies one row and returns its effect. */
   apply(
-    row: { id: string; version: number; record: TargetRecord | undefined },
+    row: TargetRow,
     options: { nowMillis: number; storeRecoveredAtMillis: number },
   ): TargetChange {
     const known = this.#targets.get(row.id);
     const newest = known?.version ?? this.#removedAtVersion.get(row.id) ??
       this.#snapshotVersion;
     if (row.version <= newest) return "stale";
+    this.#held.delete(row.id);
     if (row.record === undefined) {
       return this.#drop(row, known, options);
     }
+    if (eraOf(row.version) > eraOf(newest)) {
+      const effect = this.#applyOutdated(row, row.record, options.nowMillis);
+      if (effect !== undefined) return effect;
+    }
     this.#lapsed.delete(row.id);
     this.#removedAtVersion.delete(row.id);
     if (known === undefined) {
@@ -58,7 +106,7 @@
       return "added";
     }
     if (!isSameIncarnation(known.record, row.record)) {
-      this.#delete(row.id);
+      this.#delete(row.id, options.nowMillis);
       this.#add(row.record, row.version, options.nowMillis);
       return "replaced";
     }
@@ -90,6 +138,9 @@
       missing.push(id);
       this.apply({ id, version: options.version, record: undefined }, options);
     }
+    for (const [id, { row }] of this.#held) {
+      if (!ids.has(id) && row.version <= options.version) this.#held.delete(id);
+    }
     this.#complete = true;
     this.#recordSnapshot(options.version);
     return missing;
@@ -100,16 +151,27 @@
     return this.#complete;
   }
 
-  /** Removes lapsed targets whose grace period is over; returns their ids. */
-  expire(nowMillis: number): string[] {
-    const expired: string[] = [];
+  /** Ends grace periods and holds that are over. */
+  expire(nowMillis: number): ExpiredTargets {
+    const removed: string[] = [];
     for (const [id, untilMillis] of this.#lapsed) {
       if (nowMillis < untilMillis) continue;
       this.#lapsed.delete(id);
-      this.#delete(id);
-      expired.push(id);
+      this.#delete(id, nowMillis);
+      removed.push(id);
+    }
+    const released: TargetRow[] = [];
+    for (const [id, { row, untilMillis }] of this.#held) {
+      if (nowMillis < untilMillis) continue;
+      this.#held.delete(id);
+      this.#removedAtVersion.delete(id);
+      this.#add(row.record as TargetRecord, row.version, nowMillis);
+      released.push(row);
     }
-    return expired;
+    for (const [id, { forgetAtMillis }] of this.#ended) {
+      if (nowMillis >= forgetAtMillis) this.#ended.delete(id);
+    }
+    return { removed, released };
   }
 
   get(id: string): TargetState | undefined {
@@ -136,6 +198,32 @@
     }
   }
 
+  /**
+   * Keeps what is known if a restored row is older than it; returns undefined for a
+   * row that says something new.
+   */
+  #applyOutdated(
+    row: TargetRow,
+    record: TargetRecord,
+    nowMillis: number,
+  ): "outdated" | "held" | undefined {
+    const known = this.#targets.get(row.id);
+    const ended = this.#ended.get(row.id)?.record;
+    const isOfEnded = ended !== undefined && isSameIncarnation(ended, record) &&
+      record.sequence <= ended.sequence;
+    if (known === undefined) {
+      if (!isOfEnded) return undefined;
+      const untilMillis = nowMillis + RESTORED_RECORD_HOLD_MILLIS;
+      this.#held.set(row.id, { row, untilMillis });
+      this.#removedAtVersion.set(row.id, row.version);
+      return "held";
+    }
+    if (!isOfEnded && !isOutdated(record, known.record)) return undefined;
+    this.#lapsed.delete(row.id);
+    known.version = row.version;
+    return "outdated";
+  }
+
   #drop(
     row: { id: string; version: number },
     known: TargetState | undefined,
@@ -149,7 +237,7 @@
       known.version = row.version;
       return "lapsed";
     }
-    this.#delete(row.id);
+    this.#delete(row.id, options.nowMillis);
     return "removed";
   }
 
@@ -161,16 +249,30 @@
     else this.#byService.set(record.service, [target]);
   }
 
-  #delete(id: string): void {
+  #delete(id: string, nowMillis: number): void {
     const target = this.#targets.get(id);
     if (target === undefined) return;
     this.#targets.delete(id);
+    this.#ended.set(id, {
+      record: target.record,
+      forgetAtMillis: nowMillis + ENDED_RETENTION_MILLIS,
+    });
     const list = this.#byService.get(target.record.service) ?? [];
     const index = list.indexOf(target);
     if (index >= 0) list.splice(index, 1);
   }
 }
 
+/** True unless `record` says more than an earlier or equal record of its incarnation. */
+function isOutdated(record: TargetRecord, known: TargetRecord): boolean {
+  if (!isSameIncarnation(record, known)) return false;
+  if (record.sequence !== known.sequence) {
+    return record.sequence < known.sequence;
+  }
+  // Without sequence numbers, a drain is never taken back.
+  return known.draining || !record.draining;
+}
+
 function isSameIncarnation(a: TargetRecord, b: TargetRecord): boolean {
   return a.address === b.address && a.service === b.service &&
     a.bornMillis === b.bornMillis;
--- a/tools/src/replay/pattern_rows.ts
+++ b/tools/src/replay/pattern_rows.ts
@@ -70,6 +70,7 @@
       draining: false,
       warmupLeftMillis: 0,
       bornMillis: 1,
+      sequence: 0,
     },
   }));
   return [config, ...records];
