Let entries tell each other their configuration revision

Cause: entries fetch from each other only what has a newer row version. A configuration that a restored store has lost has none, so an entry that started meanwhile kept the older one until the operator wrote again, while its neighbours had the newer one. Change: heartbeats and digests carry the revision in force, and an entry with an older one fetches the configuration.

--- a/packages/gateway/features/restore.feature
+++ b/packages/gateway/features/restore.feature
@@ -110,3 +110,11 @@
     When revision 9 drops the route "/read/"
     And the store is restored from the copy
     Then "e1" answers 404 to "/read/x" for 1 s
+
+  Scenario: An entry that starts on a restored store gets the newer configuration from another entry
+    Given an entry "e1"
+    And a copy of the store
+    When revision 9 drops the route "/read/"
+    And the store is restored from the copy
+    And an entry "e2"
+    Then "e2" answers 404 to "/read/x" within 1 s
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -85,10 +85,15 @@
     const [path, query] = (request.url ?? "/").split("?", 2);
     if (path !== STATE_PATH) return writeJson(response, 404, "{}");
     const parameters = new URLSearchParams(query);
-    const delta = state.latestRows.changesSince([
+    const versions = [
       Number(parameters.get("operator") ?? 0),
       Number(parameters.get("targets") ?? 0),
-    ]);
+    ] as const;
+    // Entries of an older build send no revision.
+    const delta = state.latestRows.changesSince(
+      versions,
+      Number(parameters.get("revision") ?? Infinity),
+    );
     writeJson(response, 200, JSON.stringify(delta));
   });
   return listenOn(server, address);
--- a/packages/gateway/src/fetch_peer_state.ts
+++ b/packages/gateway/src/fetch_peer_state.ts
@@ -13,13 +13,17 @@
  */
 const FETCH_TIMEOUT_MILLIS = 600;
 
-/** Fetches all changes after `completeTo` from one entry; undefined if that fails. */
+/**
+ * Fetches from one entry all changes after `completeTo`, and the configuration if
+ * that entry has a newer one than `revision`; undefined if that fails.
+ */
 export async function fetchPeerState(
   address: string,
-  options: { completeTo: RowVersions; log: EventLog },
+  options: { completeTo: RowVersions; revision: number; log: EventLog },
 ): Promise<RowDelta | undefined> {
   const [operator, targets] = options.completeTo;
-  const query = `operator=${operator}&targets=${targets}`;
+  const query =
+    `operator=${operator}&targets=${targets}&revision=${options.revision}`;
   try {
     const response = await request(`http://${address}${STATE_PATH}?${query}`, {
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLIS),
--- a/packages/gateway/src/latest_rows.ts
+++ b/packages/gateway/src/latest_rows.ts
@@ -8,6 +8,16 @@
 /** Newest row versions of the operator table and the targets table. */
 export type RowVersions = readonly [operator: number, targets: number];
 
+/** What an entry knows, as it announces it to others. */
+export interface KnownState {
+  versions: RowVersions;
+  /**
+   * Configuration revision in force, if any. The store may have lost it in a restore,
+   * so row versions alone don't tell who has the newest one.
+   */
+  revision?: number;
+}
+
 /** Rows that one entry sends to another; field names are the wire format. */
 export interface RowDelta {
   rows: StateRow[];
@@ -79,15 +89,23 @@
     } else this.#operator = Math.max(this.#operator, row.version);
   }
 
-  /** Rows that are newer than the versions up to which another entry is complete. */
-  changesSince([operator, targets]: RowVersions): RowDelta {
+  /**
+   * Rows that are newer than the versions up to which another entry is complete, and
+   * a configuration that is newer than its revision.
+   */
+  changesSince(
+    [operator, targets]: RowVersions,
+    revision = Infinity,
+  ): RowDelta {
     const [operatorMissing, targetsMissing] = this.#removalsMissingBefore;
     const whole = operator === 0 || operator < operatorMissing ||
       targets < targetsMissing;
     const rows: StateRow[] = [];
     for (const { row } of this.#rows.values()) {
       const known = row.kind === "target" ? targets : operator;
-      if (whole || row.version > known) rows.push(row);
+      const isNewerConfig = row.kind === "config" &&
+        row.config.revision > revision;
+      if (whole || row.version > known || isNewerConfig) rows.push(row);
     }
     return {
       rows,
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -24,6 +24,8 @@
   reachesStore: boolean;
   /** Newest row versions of the entry. */
   versions: RowVersions;
+  /** Configuration revision in force, if any. */
+  revision?: number;
   /** Time since the store recovered from an outage; absent if that is long ago. */
   storeBackAgeMillis?: number;
   /** Requests of the entry in flight, by target. */
@@ -46,6 +48,8 @@
   serving: string[];
   /** Newest row versions of the relay. */
   versions: RowVersions;
+  /** Configuration revision in force at the relay, if any. */
+  revision?: number;
   /** Requests of the whole data centre in flight, by target. */
   inFlight: Record<string, number>;
   /**
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -28,7 +28,7 @@
   type Heartbeat,
   type LimitReport,
 } from "./peer_messages.ts";
-import type { RowVersions } from "./latest_rows.ts";
+import type { KnownState } from "./latest_rows.ts";
 
 /** Options of {@link PeerTask}. */
 export interface PeerTaskOptions {
@@ -40,8 +40,8 @@
   inFlight: () => Record<string, number>;
   shares: () => Record<string, number>;
   random: () => number;
-  /** Called with the row versions of another entry. */
-  onVersions: (peer: EntryRecord, versions: RowVersions) => void;
+  /** Called with what another entry knows. */
+  onPeerState: (peer: EntryRecord, known: KnownState) => void;
   /** Called when a digest names unknown entries. */
   onUnknownMembers: () => void;
 }
@@ -160,6 +160,7 @@
       serving: isServing(),
       reachesStore: reachesStore(),
       versions: state.latestRows.versions,
+      revision: state.config?.revision,
       storeBackAgeMillis: recoveryAgeMillis < LAPSE_GRACE_MILLIS
         ? Math.round(recoveryAgeMillis)
         : undefined,
@@ -239,6 +240,7 @@
       relay: self,
       serving: isServing() ? [self.id, ...servingPeers] : servingPeers,
       versions: state.latestRows.versions,
+      revision: state.config?.revision,
       inFlight: sums,
       shares: this.#options.shares(),
       suspects: this.#suspects(),
@@ -294,7 +296,7 @@
   }
 
   #handleHeartbeat(heartbeat: Heartbeat): void {
-    const { state, log, onVersions } = this.#options;
+    const { state, log, onPeerState } = this.#options;
     const nowMillis = performance.now();
     const isNew = state.members.applyHeartbeat(heartbeat.entry, {
       serving: heartbeat.serving,
@@ -315,11 +317,11 @@
     this.#mergeSuspects(heartbeat.suspects, nowMillis);
     this.#mergeLimits(heartbeat.entry, heartbeat.limits);
     for (const digest of heartbeat.digests) this.#handleDigest(digest);
-    onVersions(heartbeat.entry, heartbeat.versions);
+    onPeerState(heartbeat.entry, heartbeat);
   }
 
   #handleDigest(digest: Digest): void {
-    const { self, state, onVersions, onUnknownMembers } = this.#options;
+    const { self, state, onPeerState, onUnknownMembers } = this.#options;
     const { relay } = digest;
     if (relay.dataCentre === self.dataCentre) return;
     const nowMillis = performance.now();
@@ -332,7 +334,7 @@
     this.#recordShares(relay, digest.shares);
     this.#mergeSuspects(digest.suspects, nowMillis);
     this.#mergeLimits(relay, digest.limits);
-    onVersions(relay, digest.versions);
+    onPeerState(relay, digest);
   }
 
   /** Records an entry's remote shares; those of other regions concern other objects. */
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -104,7 +104,7 @@
     inFlight: () => runner.inFlightByTarget(),
     shares: () => runner.remoteShares(),
     random: Math.random,
-    onVersions: (peer, versions) => stateTask.handleVersions(peer, versions),
+    onPeerState: (peer, known) => stateTask.handlePeerState(peer, known),
     onUnknownMembers: () => stateTask.readMembersIfDue(),
   });
   let stopping = false;
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -13,7 +13,7 @@
 import { fetchPeerState } from "./fetch_peer_state.ts";
 import { TableFollower } from "./table_follower.ts";
 import type { GatewayState } from "./gateway_state.ts";
-import type { RowDelta, RowVersions } from "./latest_rows.ts";
+import type { KnownState, RowDelta } from "./latest_rows.ts";
 import { type StateStore, StateTable } from "./state_store.ts";
 
 /** Options of {@link StateTask}. */
@@ -107,13 +107,16 @@
   }
 
   /**
-   * Handles the row versions of another entry: fetches from it the rows that
-   * this one lacks.
+   * Handles what another entry knows: fetches from it the rows that this one
+   * lacks.
    */
-  handleVersions(peer: EntryRecord, versions: RowVersions): void {
-    const own = this.#options.state.latestRows.completeTo;
-    if (versions[0] <= own[0] && versions[1] <= own[1]) return;
-    if (!this.#options.state.isComplete) return;
+  handlePeerState(peer: EntryRecord, known: KnownState): void {
+    const { state } = this.#options;
+    const [operator, targets] = state.latestRows.completeTo;
+    const isBehind = known.versions[0] > operator ||
+      known.versions[1] > targets ||
+      (known.revision ?? 0) > (state.config?.revision ?? 0);
+    if (!isBehind || !state.isComplete) return;
     const nowMillis = performance.now();
     this.#behindSinceMillis ??= nowMillis;
     const isSameDataCentre = peer.dataCentre === this.#options.self.dataCentre;
@@ -228,8 +231,11 @@
     if (isTooSoon && !options.force) return;
     this.#fetchedAtMillis = nowMillis;
     this.#fetching = true;
-    const { completeTo } = state.latestRows;
-    const delta = await fetchPeerState(address, { completeTo, log });
+    const delta = await fetchPeerState(address, {
+      completeTo: state.latestRows.completeTo,
+      revision: state.config?.revision ?? 0,
+      log,
+    });
     this.#fetching = false;
     if (delta === undefined) return;
     if (delta.rows.length === 0) {
