Register entries again after the store was restored

Cause: a registration that the store had acknowledged is lost in a restore. Directories still know the entry by its heartbeats, but an entry that starts later doesn't, and neither does one of a data centre whose relay restarts.

--- a/packages/gateway/features/restore.feature
+++ b/packages/gateway/features/restore.feature
@@ -118,3 +118,11 @@
     And the store is restored from the copy
     And an entry "e2"
     Then "e2" answers 404 to "/read/x" within 1 s
+
+  Scenario: An entry whose registration the restored store lacks registers again
+    Given an entry "e1"
+    And a copy of the store
+    And an entry "e2"
+    And "e2" is registered
+    When the store is restored from the copy
+    Then the store lists the entry "e2" within 3 s
--- a/packages/gateway/features/restore_steps.ts
+++ b/packages/gateway/features/restore_steps.ts
@@ -133,3 +133,25 @@
       ));
   },
 );
+
+/** True if the store has the record of an entry. */
+async function isListed(id: string): Promise<boolean> {
+  const { rows } = await world.system.store.connect("test").read(
+    StateTable.entries,
+  );
+  return rows.some((row) => row.kind === "entry" && row.id === id);
+}
+
+Given(
+  "{string} is registered",
+  (id: string) => until(() => isListed(id), `${id} is registered`),
+);
+
+Then("the store lists the entry {string} within {int} s", (
+  id: string,
+  seconds: number,
+) =>
+  untilWithin(() => isListed(id), {
+    seconds,
+    description: `${id} is listed`,
+  }));
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -87,6 +87,8 @@
   /** When the list of entries was first read. */
   #membersReadAtMillis = Infinity;
   #storeRecoveredAtMillis = -Infinity;
+  /** Called when the store turns out to have been restored. */
+  onRestore: () => void = () => {};
   /** Called after a change that may let queued requests be sent. */
   onChange: () => void = () => {};
 
@@ -147,7 +149,7 @@
   }
 
   /**
-   * Counts a restore of the store as the end of an outage, also where no call failed
+   * Detects a restore of the store, and counts it as the end of an outage, also where no call failed
    * meanwhile: records may be missing because the copy was older than they are.
    */
   #recordEra(
@@ -155,8 +157,10 @@
     { version, nowMillis }: { version: number; nowMillis: number },
   ): void {
     const era = eraOf(version);
+    const newest = this.#eras.size > 0 ? Math.max(...this.#eras.values()) : era;
     const known = this.#eras.get(table) ?? era;
     this.#eras.set(table, Math.max(era, known));
+    if (era > newest) this.onRestore();
     if (era <= known) return;
     this.recordStoreRecovery(nowMillis);
     this.#log.warn("store_restored", {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -41,6 +41,11 @@
 const STATUS_POLL_MILLIS = 20;
 /** Time to wait for peers' first heartbeats before the directory lists this entry alone. */
 const PEER_DISCOVERY_MILLIS = 700;
+/**
+ * Maximum delay before an entry registers again after a restore of the store: spreads
+ * the writes of all entries.
+ */
+const REGISTER_AGAIN_MILLIS = 2000;
 /** Delay before a failed registration of this entry is retried. */
 const REGISTER_RETRY_MILLIS = 1000;
 /** How long a stopping entry takes new requests; callers cache look-ups less long. */
@@ -127,6 +132,9 @@
     callers: settings.listen.callers,
     tookMillis: Math.round(startedAtMillis),
   });
+  state.onRestore = () => {
+    if (isReady()) setTimeout(register, REGISTER_AGAIN_MILLIS * Math.random());
+  };
   let appliedRevision = 0;
   const cleanupTimer = setInterval(() => {
     state.removeExpired(performance.now());
