Log targets that can't be reached

Cause: after the fact a cut from targets looks like a slow service; no line says that a connection could not be made.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -100,6 +100,9 @@
     switch (end.kind) {
       case "answered":
       case "streamed":
+        if (target.isUnreachable) {
+          log.info("target_reachable", { target: target.record.id });
+        }
         target.recordResult(
           end.kind === "answered" && end.answer.status >= 500
             ? AttemptResult.faulty
@@ -118,6 +121,12 @@
         }
         return;
       case "unreachable":
+        if (!target.isUnreachable) {
+          log.warn("target_unreachable", {
+            target: target.record.id,
+            reason: end.reason,
+          });
+        }
         return target.recordResult(AttemptResult.unreachable, health);
       case "lost":
       case "stream-cut":
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -179,6 +179,15 @@
     return count;
   }
 
+  /** Number of targets that this entry can't connect to. */
+  get unreachableTargetCount(): number {
+    let count = 0;
+    for (const target of this.targets.all()) {
+      if (target.isUnreachable) count++;
+    }
+    return count;
+  }
+
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuations.isActive(dataCentre);
   }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -186,6 +186,10 @@
     metrics.gauge("bamboolane_revision", () => state.config?.revision ?? 0);
     metrics.gauge("bamboolane_in_flight", () => runner.inFlight);
     metrics.gauge("bamboolane_limited_targets", () => state.limitedTargetCount);
+    metrics.gauge(
+      "bamboolane_unreachable_targets",
+      () => state.unreachableTargetCount,
+    );
     metrics.gauge(
       "bamboolane_live_instances",
       () => state.members.serving(performance.now()).length,
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -119,6 +119,11 @@
     return nowMillis < this.#coldUntilMillis;
   }
 
+  /** True if the last attempt to connect to the target failed. */
+  get isUnreachable(): boolean {
+    return this.#connectFailures > 0;
+  }
+
   isPaused(nowMillis: number): boolean {
     return nowMillis < this.#pausedUntilMillis;
   }
