Serve callers of entries without links to targets through other entries

Cause: an entry learned that a target can't be reached by letting a request fail there, target by target, forgot it after 0.3 to 3 s, and had no other way to a target. What hung counted as load, here and, through heartbeats, at the others. The class of fault: what is known of one link isn't used for the next, and a peer's reach isn't used at all. Change: connections besides those of requests find out which targets can be reached: few while all is well, and at once those of the same data centre or service when two fail. An unreachable target gets no request until it accepts a connection. A request without a reachable target is forwarded to an entry that reaches its service, the nearest with the fewest, to be sent from there, never further; heartbeats say who reaches which service. Attempts without a connection, and idempotent ones once a second connection failed, are given up and tried elsewhere; a send that never left takes nothing from the retry budget.

--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -163,6 +163,8 @@
       seeds?: string[];
       hasRetryBudget?: boolean;
       dataCentre?: string;
+      /** Region a unless given. */
+      region?: string;
     } = {},
   ): Promise<void> {
     if (options.storeUnavailable) this.store.setUnavailable(id, true);
@@ -171,7 +173,11 @@
       reserveAddress,
     );
     const settings: GatewaySettings = {
-      instance: { id, dataCentre: options.dataCentre ?? "a1", region: "a" },
+      instance: {
+        id,
+        dataCentre: options.dataCentre ?? "a1",
+        region: options.region ?? "a",
+      },
       listen: { callers, readiness, directory, state, peers, metrics: "" },
       storeAddress: "",
       seeds: (options.seeds ?? []).map((seed) =>
--- a/packages/gateway/src/answer_caller.ts
+++ b/packages/gateway/src/answer_caller.ts
@@ -24,10 +24,15 @@
 export function writeLocalAnswer(
   response: ServerResponse,
   status: number,
-  options: { text: string; retryAfterMillis?: number },
+  options: {
+    text: string;
+    retryAfterMillis?: number;
+    headers?: Readonly<Record<string, string>>;
+  },
 ): void {
   if (response.headersSent || response.destroyed) return;
   const headers: Record<string, string | number> = {
+    ...options.headers,
     "content-type": "text/plain",
     "content-length": Buffer.byteLength(options.text),
   };
@@ -38,21 +43,26 @@
   response.end(options.text);
 }
 
-/**
- * Answer sink of one HTTP response. `beforeHead` runs before the status and
- * headers are written.
- */
+/** Options of {@link CallerSink}. */
+export interface CallerSinkOptions {
+  /** Runs before the status and headers are written. */
+  beforeHead: () => void;
+  /** Further headers of answers of the gateway itself. */
+  ownHeaders: (kind: LocalAnswer["kind"]) => Record<string, string>;
+}
+
+/** Answer sink of one HTTP response. */
 export class CallerSink implements AnswerSink {
   readonly #response: ServerResponse;
-  readonly #beforeHead: () => void;
+  readonly #options: CallerSinkOptions;
 
-  constructor(response: ServerResponse, beforeHead: () => void) {
+  constructor(response: ServerResponse, options: CallerSinkOptions) {
     this.#response = response;
-    this.#beforeHead = beforeHead;
+    this.#options = options;
   }
 
   answer(answer: TargetAnswer): void {
-    this.#beforeHead();
+    this.#options.beforeHead();
     const headers = [...answer.headers];
     if (answer.status !== 204 && answer.status !== 304) {
       headers.push("Content-Length", String(answer.body.byteLength));
@@ -62,7 +72,7 @@
   }
 
   start(status: number, headers: string[]): void {
-    this.#beforeHead();
+    this.#options.beforeHead();
     this.#response.writeHead(status, headers);
   }
 
@@ -87,9 +97,10 @@
 
   answerLocally(answer: LocalAnswer): void {
     if (this.#response.headersSent) return;
-    this.#beforeHead();
+    this.#options.beforeHead();
     writeLocalAnswer(this.#response, LOCAL_ANSWER_STATUS[answer.kind], {
       text: `${answer.kind}\n`,
+      headers: this.#options.ownHeaders(answer.kind),
       retryAfterMillis: answer.kind === "refused"
         ? answer.retryAfterMillis
         : undefined,
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -100,9 +100,6 @@
     switch (end.kind) {
       case "answered":
       case "streamed":
-        if (target.isUnreachable) {
-          log.info("target_reachable", { target: target.record.id });
-        }
         target.recordResult(
           end.kind === "answered" && end.answer.status >= 500
             ? AttemptResult.faulty
@@ -169,11 +166,11 @@
   ): Promise<void> {
     const { state, log } = this.#options;
     if (!await isConnectionRefused(target.record.address)) return;
-    const nowMillis = performance.now();
     target.recordResult(AttemptResult.unreachable, {
-      nowMillis,
+      nowMillis: performance.now(),
       warmupMillis: state.warmupMillis(request.service),
     });
+    const nowMillis = performance.now();
     state.crashes.recordCrash(request.fingerprint, target.record.id, nowMillis);
     log.warn("target_crashed", {
       request: request.id,
--- a/packages/gateway/src/gateway_request.ts
+++ b/packages/gateway/src/gateway_request.ts
@@ -65,8 +65,14 @@
   /** Equal for repetitions of a request; crashes are recorded under it. */
   fingerprint: string;
   sink: AnswerSink;
+  /** True if another entry forwarded the request; it is not forwarded again. */
+  isForwarded: boolean;
   /** Ids of the targets that the request was sent to. */
   triedTargets: Set<string>;
+  /** Ids of the entries that the request was forwarded to. */
+  triedEntries: Set<string>;
+  /** Number of sends that may have reached a target. */
+  arrivals: number;
   /** Number of sends that may have run the request: all but those known not to have run it. */
   possibleRuns: number;
   /** Number of all sends. */
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP server for callers. It checks requests against the configuration and
+ * The HTTP server for callers, and for other entries that forward requests. It checks requests against the configuration and
  * the limits in force, passes them to the runner, and closes connections
  * gracefully when the process stops: callers may go on using open connections,
  * and the last pending answer of each one announces its close. Connections that
@@ -16,7 +16,13 @@
 import type { CallerLimits } from "@bamboolane/steering/steering_config";
 import { CallerSink, writeLocalAnswer } from "./answer_caller.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
-import type { GatewayRequest } from "./gateway_request.ts";
+import {
+  FORWARDED_HEADER,
+  type ForwardedState,
+  parseForwarded,
+  resultHeaders,
+} from "./forwarding_headers.ts";
+import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import {
   fingerprintOf,
@@ -35,6 +41,8 @@
   stallMonitor: StallMonitor;
   dialect: CallerDialect;
   log: EventLog;
+  /** Serves other entries that forward requests. */
+  servesEntries?: boolean;
 }
 
 /** Maximum header size of the HTTP parser; the configured limit is lower. */
@@ -159,7 +167,8 @@
     }
     if (!state.isComplete) {
       log.info("request", { outcome: "refused", reason: "no-configuration" });
-      return writeOwnAnswer(response, 503, {
+      return this.#writeOwnAnswer(request, response, {
+        status: 503,
         text: "no configuration yet\n",
         retryAfterMillis: NO_CONFIG_RETRY_MILLIS,
       });
@@ -175,7 +184,10 @@
     }
     this.#accept(request, response, route).catch((error: Error) => {
       log.error("accept_failed", { error: error.message });
-      writeOwnAnswer(response, 500, { text: "internal\n" });
+      this.#writeOwnAnswer(request, response, {
+        status: 500,
+        text: "internal\n",
+      });
     });
   }
 
@@ -185,7 +197,8 @@
     route: NonNullable<ReturnType<GatewayState["matchRoute"]>>,
   ): Promise<void> {
     const { state, runner, stallMonitor, dialect, log } = this.#options;
-    const arrivedAtMillis = performance.now();
+    const forwarded = this.#forwardedState(request);
+    const arrivedAtMillis = performance.now() - forwarded.elapsedMillis;
     const head = readHead(request, route, dialect);
     const bodyResult = await readBody(request, this.#limits());
     if (bodyResult.kind === "too-large") {
@@ -212,7 +225,8 @@
     const fingerprint = fingerprintOf(request, bodyResult.body);
     if (state.crashes.isHeldBack(fingerprint, arrivedAtMillis)) {
       log.warn("held_back", { request: head.id, fingerprint });
-      return writeOwnAnswer(response, 503, {
+      return this.#writeOwnAnswer(request, response, {
+        status: 503,
         text: "held back\n",
         retryAfterMillis: HELD_BACK_RETRY_MILLIS,
       });
@@ -229,13 +243,21 @@
       arrivedAtMillis,
       objectiveAtMillis: arrivedAtMillis + route.objectiveMillis,
       priority: route.priority,
-      expiresAtMillis: arrivedAtMillis +
-        Math.min(head.deadlineMillis, route.timeoutMillis),
+      expiresAtMillis: Math.min(
+        arrivedAtMillis + forwarded.elapsedMillis + head.deadlineMillis,
+        arrivedAtMillis + route.timeoutMillis,
+      ),
       fingerprint,
-      sink: new CallerSink(response, () => announceClose(response)),
+      sink: new CallerSink(response, {
+        beforeHead: () => announceClose(response),
+        ownHeaders: (kind) => this.#ownHeaders(request, kind),
+      }),
+      isForwarded: this.#servesEntries,
       triedTargets: new Set(),
+      triedEntries: new Set(),
       possibleRuns: 0,
-      sends: 0,
+      sends: forwarded.sends,
+      arrivals: forwarded.sends,
       done: false,
       abort: undefined,
       expiryTimer: undefined,
@@ -260,7 +282,53 @@
       reason: options.reason,
       revision: this.#options.state.config?.revision,
     });
-    writeOwnAnswer(response, options.status, { text: `${options.reason}\n` });
+    this.#writeOwnAnswer(request, response, {
+      // The other entry may know a route that this one doesn't know yet.
+      status: this.#servesEntries ? 503 : options.status,
+      text: `${options.reason}\n`,
+    });
+  }
+
+  get #servesEntries(): boolean {
+    return this.#options.servesEntries ?? false;
+  }
+
+  /** State of a request that another entry forwarded; of a caller's, none. */
+  #forwardedState(request: IncomingMessage): ForwardedState {
+    const header = request.headers[FORWARDED_HEADER];
+    const state = this.#servesEntries
+      ? parseForwarded(String(header))
+      : undefined;
+    return state ?? { sends: 0, elapsedMillis: 0 };
+  }
+
+  /** Headers that tell another entry that the answer is this one's own. */
+  #ownHeaders(
+    request: IncomingMessage,
+    kind: LocalAnswer["kind"],
+  ): Record<string, string> {
+    if (!this.#servesEntries) return {};
+    const { requestIdHeader } = this.#options.dialect;
+    return resultHeaders(kind, {
+      idHeader: requestIdHeader,
+      id: String(request.headers[requestIdHeader] ?? ""),
+    });
+  }
+
+  /** Answers without a target. */
+  #writeOwnAnswer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    answer: { status: number; text: string; retryAfterMillis?: number },
+  ): void {
+    if (!response.headersSent) announceClose(response);
+    writeLocalAnswer(response, answer.status, {
+      ...answer,
+      headers: this.#ownHeaders(
+        request,
+        answer.status === 503 ? "refused" : "failed",
+      ),
+    });
   }
 
   /**
@@ -303,16 +371,6 @@
   if (closingAnswers.has(response)) response.setHeader("connection", "close");
 }
 
-/** Answers without a target. */
-function writeOwnAnswer(
-  response: ServerResponse,
-  status: number,
-  options: { text: string; retryAfterMillis?: number },
-): void {
-  if (!response.headersSent) announceClose(response);
-  writeLocalAnswer(response, status, options);
-}
-
 /** Marks the last of a connection's pending answers: only that one may close it. */
 function markLastAnswer(pending: ReadonlySet<ServerResponse>): void {
   let last: ServerResponse | undefined;
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -188,6 +188,16 @@
     return count;
   }
 
+  /** Services that have targets of which this entry reaches none. */
+  unreachableServices(): string[] {
+    return [...this.#services.keys()].filter((service) => {
+      const targets = this.targets.forService(service)
+        .filter((target) => !target.isLeaving());
+      return targets.length > 0 &&
+        targets.every(({ isUnreachable }) => isUnreachable);
+    });
+  }
+
   isEvacuated(dataCentre: string): boolean {
     return this.#evacuations.isActive(dataCentre);
   }
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -30,6 +30,8 @@
   storeBackAgeMillis?: number;
   /** Requests of the entry in flight, by target. */
   inFlight: Record<string, number>;
+  /** Services of which the entry reaches no target. */
+  unreachableServices?: string[];
   /** Share of the region's objects that other regions serve, by service. */
   shares: Record<string, number>;
   /** Requests that crashed targets. */
@@ -52,6 +54,8 @@
   revision?: number;
   /** Requests of the whole data centre in flight, by target. */
   inFlight: Record<string, number>;
+  /** Services of which an entry of the data centre reaches no target, by entry. */
+  unreachableServices?: Record<string, string[]>;
   /**
    * Share of its region's objects that other regions serve, by service, as seen
    * by the relay.
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -165,6 +165,7 @@
         ? Math.round(recoveryAgeMillis)
         : undefined,
       inFlight: inFlight(),
+      unreachableServices: state.unreachableServices(),
       shares: this.#options.shares(),
       suspects: this.#suspects(),
       limits: this.#limitReports(),
@@ -242,12 +243,29 @@
       versions: state.latestRows.versions,
       revision: state.config?.revision,
       inFlight: sums,
+      unreachableServices: this.#unreachableServices(servingPeers),
       shares: this.#options.shares(),
       suspects: this.#suspects(),
       limits: this.#limitReports(),
     };
   }
 
+  /** Services of which this entry or a local peer reaches no target, by entry. */
+  #unreachableServices(servingPeers: string[]): Record<string, string[]> {
+    const { self, state } = this.#options;
+    const services: Record<string, string[]> = {
+      [self.id]: state.unreachableServices(),
+    };
+    for (const { record, unreachableServices } of this.#localPeers()) {
+      if (servingPeers.includes(record.id)) {
+        services[record.id] = [...unreachableServices];
+      }
+    }
+    return Object.fromEntries(
+      Object.entries(services).filter(([, list]) => list.length > 0),
+    );
+  }
+
   #limitReports(): Record<string, LimitReport> {
     const nowMillis = performance.now();
     const { state, random } = this.#options;
@@ -302,6 +320,7 @@
       serving: heartbeat.serving,
       reachesStore: heartbeat.reachesStore,
       inFlight: new Map(Object.entries(heartbeat.inFlight)),
+      unreachableServices: heartbeat.unreachableServices,
     }, nowMillis);
     if (isNew) {
       log.info("peer_heard", {
@@ -329,6 +348,7 @@
       relay,
       serving: digest.serving,
       inFlight: new Map(Object.entries(digest.inFlight)),
+      unreachableServices: digest.unreachableServices,
     }, nowMillis);
     if (!allKnown) onUnknownMembers();
     this.#recordShares(relay, digest.shares);
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -8,6 +8,7 @@
   SteeringRoute,
 } from "@bamboolane/steering/steering_config";
 import type { CallerDialect } from "./caller_dialect.ts";
+import { FORWARDED_HEADER } from "./forwarding_headers.ts";
 import { endToEndHeaders } from "./send_attempt.ts";
 
 /** Parsed headers of a request. */
@@ -41,7 +42,11 @@
     id: String(headers[dialect.requestIdHeader] ?? ""),
     headers: endToEndHeaders(
       request.rawHeaders,
-      new Set([dialect.deadlineHeader, dialect.expectedTargetHeader]),
+      new Set([
+        dialect.deadlineHeader,
+        dialect.expectedTargetHeader,
+        FORWARDED_HEADER,
+      ]),
     ),
     object: route.affinity ? dialect.parseObject(headers.cookie) : undefined,
     deadlineMillis: Number.isFinite(deadline) && deadline > 0
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -12,6 +12,8 @@
 /** Details of an outcome; the fields are logged under their own names. */
 export interface OutcomeDetails {
   target?: TargetState;
+  /** The entry that the request was forwarded to. */
+  peer?: string;
   status?: number;
   reason?: string;
   retryAfterMillis?: number;
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -13,6 +13,7 @@
   AttemptResult,
   type TargetState,
 } from "@bamboolane/steering/target_state";
+import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { AttemptRecorder } from "./attempt_recorder.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import {
@@ -27,6 +28,8 @@
   recordOutcome,
   roundLoad,
 } from "./record_outcome.ts";
+import { PeerForwarder } from "./peer_forwarder.ts";
+import { ReachMonitor } from "./reach_monitor.ts";
 import { RequestPlacer } from "./request_placer.ts";
 import { RoundTripEstimates } from "./round_trip_estimates.ts";
 import { type AttemptEnd, sendAttempt } from "./send_attempt.ts";
@@ -52,6 +55,9 @@
 /** Minimum time left for a retry to be worthwhile. */
 const MIN_RETRY_MILLIS = 30;
 
+/** Failed connections in a row from which a target's open connections count as dead too. */
+const MIN_FAILURES_TO_GIVE_UP = 2;
+
 /**
  * Minimum time left until the deadline for a send to be worthwhile; a request
  * with less is left to its expiry timer.
@@ -62,10 +68,14 @@
 export class RequestRunner {
   readonly #options: RunnerOptions;
   readonly #placer: RequestPlacer;
+  readonly #forwarder: PeerForwarder;
+  readonly #reachMonitor: ReachMonitor;
   readonly #attemptRecorder: AttemptRecorder;
   readonly #connections = new Map<string, TargetConnections>();
   readonly #roundTrips: RoundTripEstimates;
   readonly #queueTimer: NodeJS.Timeout;
+  /** Attempts without an answer so far, by target. */
+  readonly #unanswered = new WeakMap<TargetState, Set<UnansweredAttempt>>();
   #inFlight = 0;
 
   constructor(options: RunnerOptions) {
@@ -79,6 +89,13 @@
       ...options,
       roundTrips: this.#roundTrips,
     });
+    this.#forwarder = new PeerForwarder(options);
+    this.#reachMonitor = new ReachMonitor({
+      ...options,
+      roundTrips: this.#roundTrips,
+      onUnreachable: (target) => this.#giveUpAttempts(target),
+      onReachable: () => this.dispatchQueued(),
+    });
     this.#queueTimer = setInterval(
       () => this.dispatchQueued(),
       QUEUE_POLL_MILLIS,
@@ -96,6 +113,8 @@
   inFlightByTarget(): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const target of this.#options.state.targets.all()) {
+      // What hangs at an unreachable target is no load there.
+      if (target.isUnreachable) continue;
       if (target.ownInFlight > 0) counts[target.record.id] = target.ownInFlight;
     }
     return counts;
@@ -110,7 +129,9 @@
   run(request: GatewayRequest): void {
     const nowMillis = performance.now();
     this.#inFlight++;
-    this.#options.state.budget(request.service).recordRequest(nowMillis);
+    if (!request.isForwarded) {
+      this.#options.state.budget(request.service).recordRequest(nowMillis);
+    }
     request.expiryTimer = setTimeout(
       () => this.#expire(request),
       Math.max(0, request.expiresAtMillis - nowMillis),
@@ -154,10 +175,13 @@
       connections.closeIdle();
       if (connections.open === 0) this.#connections.delete(address);
     }
+    this.#forwarder.closeUnusedConnections();
   }
 
   stop(): void {
     clearInterval(this.#queueTimer);
+    this.#reachMonitor.stop();
+    this.#forwarder.stop();
     for (const connections of this.#connections.values()) {
       connections.closeIdle();
     }
@@ -166,8 +190,12 @@
   #start(request: GatewayRequest, nowMillis: number): void {
     const { queue, remoteShare } = this.#placer.serviceState(request.service);
     const placement = this.#placer.place(request, nowMillis);
+    if (placement.kind !== "send" && this.#forward(request, placement.kind)) {
+      return;
+    }
     const admission = this.#placer.admit(request, placement, nowMillis);
     if (admission.kind === "refuse") {
+      if (this.#forward(request, "late")) return;
       return this.#refuse(request, {
         reason: placement.kind,
         retryAfterMillis: Math.round(admission.retryAfterMillis),
@@ -201,6 +229,7 @@
       if (request === undefined) return;
       const placement = this.#placer.place(request, nowMillis);
       if (placement.kind !== "send") {
+        if (this.#forward(request, placement.kind)) continue;
         serviceState.queue.add(request);
         return;
       }
@@ -223,6 +252,7 @@
     target.recordSend(request.object, nowMillis);
     request.triedTargets.add(record.id);
     request.sends++;
+    request.arrivals++;
     request.possibleRuns++;
     const connections = this.#connectionsTo(target);
     const connection = connections.acquire(nowMillis);
@@ -246,6 +276,7 @@
     const newConnection = !connection.connected;
     let headAtMillis = 0;
     const finishAttempt = (reusable: boolean) => {
+      this.#unanswered.get(target)?.delete(unanswered);
       target.recordEnd();
       request.abort = undefined;
       if (reusable) connections.release(connection, performance.now());
@@ -254,10 +285,13 @@
     const abort = sendAttempt(request, {
       connection,
       dialect,
-      targetId: record.id,
+      recipient: { kind: "target", id: record.id },
       remainingMillis,
       onHead: (head) => {
         headAtMillis = performance.now();
+        this.#unanswered.get(target)?.delete(unanswered);
+        if (newConnection) target.recordConnected(headAtMillis);
+        else target.recordContact(headAtMillis);
         this.#attemptRecorder.recordHead(target, head, headAtMillis);
       },
       onEnd: (end) => {
@@ -282,7 +316,19 @@
         this.#dispatchQueue(request.service);
       },
     });
+    const unanswered: UnansweredAttempt = {
+      request,
+      isConnected: () => connection.connected,
+      giveUp: (end) => {
+        if (!abort(end.reason)) return;
+        finishAttempt(false);
+        this.#handleResult(request, target, end);
+      },
+    };
+    this.#addUnanswered(target, unanswered);
     request.abort = (reason) => {
+      // Closing the connection first would end the attempt with an error.
+      abort(reason);
       finishAttempt(false);
       // Unlike a caller's disconnect, an expiry counts against the target.
       if (reason === "expired") {
@@ -293,7 +339,6 @@
         // `nowMillis` is the time of the send.
         connections.closeIdleUsedBefore(nowMillis);
       }
-      abort(reason);
     };
   }
 
@@ -333,6 +378,7 @@
       case "not-run":
       case "unreachable":
         request.possibleRuns--;
+        if (end.kind === "unreachable") request.arrivals--;
         if (this.#retry(request, end.kind)) return;
         return request.possibleRuns > 0
           ? this.#fail(request, { kind: "failed", reason: end.kind })
@@ -380,20 +426,12 @@
     if (request.possibleRuns > 0 && route.repeat !== RepeatPolicy.idempotent) {
       return false;
     }
-    if (request.sends >= route.attempts) return false;
     if (request.expiresAtMillis - nowMillis < MIN_RETRY_MILLIS) return false;
     if (state.crashes.isHeldBack(request.fingerprint, nowMillis)) return false;
+    if (request.sends >= route.attempts) return this.#forward(request, cause);
     const placement = this.#placer.place(request, nowMillis);
-    if (placement.kind !== "send") return false;
-    if (
-      !state.budget(request.service).spend(nowMillis, {
-        // While entries may be unknown, none of the fixed allowance is used.
-        entries: state.members.isComplete ? state.members.count : Infinity,
-      })
-    ) {
-      log.info("repeat_denied", { request: request.id, cause });
-      return false;
-    }
+    if (placement.kind !== "send") return this.#forward(request, cause);
+    if (!this.#spendRetry(request, cause)) return false;
     metrics.count("bamboolane_retries", 1, { cause });
     log.info("repeat", {
       request: request.id,
@@ -407,6 +445,103 @@
     return true;
   }
 
+  /** Takes a retry from the budget, unless no send has reached a target so far. */
+  #spendRetry(request: GatewayRequest, cause: string): boolean {
+    const { state, log } = this.#options;
+    if (request.arrivals === 0) return true;
+    const isAllowed = state.budget(request.service).spend(performance.now(), {
+      // While entries may be unknown, none of the fixed allowance is used.
+      entries: state.members.isComplete ? state.members.count : Infinity,
+    });
+    if (!isAllowed) log.info("repeat_denied", { request: request.id, cause });
+    return isAllowed;
+  }
+
+  /**
+   * Forwards a request to another entry if this one reaches too few of the service's
+   * targets; returns false otherwise.
+   */
+  #forward(request: GatewayRequest, cause: string): boolean {
+    const nowMillis = performance.now();
+    if (request.arrivals >= request.route.attempts) return false;
+    if (request.expiresAtMillis - nowMillis < MIN_RETRY_MILLIS) return false;
+    const peer = this.#forwarder.choose(request, nowMillis);
+    if (peer === undefined || !this.#spendRetry(request, cause)) return false;
+    this.#options.metrics.count("bamboolane_forwards", 1, { cause });
+    request.triedEntries.add(peer.id);
+    request.arrivals++;
+    request.possibleRuns++;
+    this.#forwarder.forward(request, {
+      peer,
+      onEnd: (end) => this.#handleForwardResult(request, peer, end),
+    });
+    return true;
+  }
+
+  /** Passes on the answer of another entry, tries a further one, or fails the request. */
+  #handleForwardResult(
+    request: GatewayRequest,
+    peer: EntryRecord,
+    end: AttemptEnd,
+  ): void {
+    if (request.done) return;
+    switch (end.kind) {
+      case "answered":
+        this.#finish(request, "answered", {
+          peer: peer.id,
+          status: end.answer.status,
+        });
+        return this.#forwardAnswer(request, end.answer);
+      case "streamed":
+      case "stream-cut":
+        return this.#finish(request, end.kind, { peer: peer.id });
+      case "not-run":
+      case "unreachable":
+        request.possibleRuns--;
+        request.arrivals--;
+        if (this.#retry(request, `entry-${end.kind}`)) return;
+        return request.possibleRuns > 0
+          ? this.#fail(request, { kind: "failed", reason: end.kind })
+          : this.#refuse(request, {
+            reason: `entry-${end.kind}`,
+            peer: peer.id,
+            retryAfterMillis:
+              (end.kind === "not-run" ? end.retryAfterMillis : undefined) ??
+                this.#randomRetryAfterMillis(request),
+          });
+      case "lost":
+        if (end.reason === "entry-expired") {
+          return this.#fail(request, { kind: "expired" });
+        }
+        if (this.#retry(request, end.reason)) return;
+        return this.#fail(request, { kind: "failed", reason: end.reason });
+    }
+  }
+
+  #addUnanswered(target: TargetState, attempt: UnansweredAttempt): void {
+    const attempts = this.#unanswered.get(target);
+    if (attempts) attempts.add(attempt);
+    else this.#unanswered.set(target, new Set([attempt]));
+  }
+
+  /**
+   * Gives up what hangs at a target that can't be reached: attempts without a
+   * connection, and once a second connection failed, those that may be repeated.
+   */
+  #giveUpAttempts(target: TargetState): void {
+    const isConfirmed = target.connectFailures >= MIN_FAILURES_TO_GIVE_UP;
+    for (const attempt of [...this.#unanswered.get(target) ?? []]) {
+      if (!attempt.isConnected()) {
+        attempt.giveUp({ kind: "unreachable", reason: "unreachable" });
+      } else if (
+        isConfirmed &&
+        attempt.request.route.repeat === RepeatPolicy.idempotent
+      ) {
+        attempt.giveUp({ kind: "lost", reason: "unreachable", corrupt: false });
+      }
+    }
+  }
+
   #expire(request: GatewayRequest): void {
     if (request.done) return;
     this.#placer.serviceState(request.service).queue.remove(request);
@@ -459,6 +594,13 @@
   }
 }
 
+/** An attempt whose answer has not begun. */
+interface UnansweredAttempt {
+  request: GatewayRequest;
+  isConnected: () => boolean;
+  giveUp: (end: AttemptEnd & { kind: "unreachable" | "lost" }) => void;
+}
+
 /** Error codes of a connection that the target closed before it answered. */
 const CONNECTION_CLOSED_CODES: ReadonlySet<string> = new Set([
   "ECONNRESET",
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -5,6 +5,12 @@
  */
 import type { Dispatcher } from "undici";
 import type { CallerDialect } from "./caller_dialect.ts";
+import {
+  formatForwarded,
+  FORWARDED_HEADER,
+  type ForwardedState,
+  RESULT_HEADER,
+} from "./forwarding_headers.ts";
 import {
   type GatewayRequest,
   NOT_RUN_STATUSES,
@@ -28,8 +34,14 @@
   /** An answer too large to buffer was streamed to the caller. */
   | { kind: "streamed"; closesConnection: boolean }
   | { kind: "stream-cut"; reason: string }
-  /** The target proved that it did not run the request. */
-  | { kind: "not-run"; status: number; closesConnection: boolean }
+  /** The target, or the entry that the request was forwarded to, did not run it. */
+  | {
+    kind: "not-run";
+    status: number;
+    closesConnection: boolean;
+    /** When the other entry expects room. */
+    retryAfterMillis?: number;
+  }
   /** No connection could be made; nothing was sent. */
   | { kind: "unreachable"; reason: string }
   /**
@@ -100,11 +112,16 @@
   limit: string | undefined;
 }
 
+/** Who receives a request: a target, or another entry that sends it to one. */
+export type Recipient =
+  | { kind: "target"; id: string }
+  | { kind: "entry"; state: ForwardedState };
+
 /** Options of {@link sendAttempt}. */
 export interface AttemptOptions {
   connection: TargetConnection;
   dialect: CallerDialect;
-  targetId: string;
+  recipient: Recipient;
   /** Time until the request's deadline, which is forwarded to the target. */
   remainingMillis: number;
   /** Called once the answer's headers arrived. */
@@ -112,11 +129,14 @@
   onEnd: (end: AttemptEnd) => void;
 }
 
-/** Starts an attempt; the returned function aborts it without a call of `onEnd`. */
+/**
+ * Starts an attempt. The returned function aborts it without a call of `onEnd`; it
+ * returns false if the attempt had ended already.
+ */
 export function sendAttempt(
   request: GatewayRequest,
   options: AttemptOptions,
-): (reason: string) => void {
+): (reason: string) => boolean {
   const attempt = new Attempt(request, options);
   return (reason) => attempt.abort(reason);
 }
@@ -131,6 +151,7 @@
   #notRun = false;
   #closesConnection = false;
   #refusalTimer: NodeJS.Timeout | undefined;
+  #retryAfterMillis: number | undefined;
   #chunks: Buffer[] = [];
   #size = 0;
   #streaming = false;
@@ -150,20 +171,20 @@
         ...request.headers,
         dialect.deadlineHeader,
         String(Math.max(1, Math.floor(options.remainingMillis))),
-        dialect.expectedTargetHeader,
-        options.targetId,
+        ...recipientHeaders(options),
       ],
       body: request.body ?? null,
     }, this);
   }
 
-  abort(reason: string): void {
-    if (this.#ended) return;
+  abort(reason: string): boolean {
+    if (this.#ended) return false;
     this.#ended = true;
     clearTimeout(this.#refusalTimer);
     this.#controller?.abort(new Error(reason));
     this.#options.connection.close();
     if (this.#streaming) this.#request.sink.cut();
+    return true;
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -196,8 +217,7 @@
         corrupt: true,
       });
     }
-    this.#notRun = headersByName.has(dialect.notRunHeader) ||
-      status === dialect.misdirectedStatus;
+    this.#notRun = this.#isNotRun(status, headersByName);
     onHead({
       status,
       notRun: this.#notRun,
@@ -253,6 +273,7 @@
         kind: "not-run",
         status: this.#status,
         closesConnection,
+        retryAfterMillis: this.#retryAfterMillis,
       });
     }
     if (this.#streaming) {
@@ -299,6 +320,7 @@
       kind: "not-run",
       status: this.#status,
       closesConnection: true,
+      retryAfterMillis: this.#retryAfterMillis,
     });
   }
 
@@ -312,9 +334,30 @@
     return id === undefined ? !connection.isReused : id === this.#request.id;
   }
 
+  /** True if the recipient proved that the request did not run. */
+  #isNotRun(status: number, headers: ReadonlyMap<string, string>): boolean {
+    const { dialect, recipient } = this.#options;
+    switch (recipient.kind) {
+      case "target":
+        return headers.has(dialect.notRunHeader) ||
+          status === dialect.misdirectedStatus;
+      case "entry": {
+        const retryAfterSeconds = Number(headers.get("retry-after"));
+        if (retryAfterSeconds > 0) {
+          this.#retryAfterMillis = retryAfterSeconds * 1000;
+        }
+        return headers.get(RESULT_HEADER) === "refused";
+      }
+    }
+  }
+
   /** Returns the reason why an answer is corrupt; empty for a valid one. */
   #findCorruption(headers: ReadonlyMap<string, string>): string {
-    const { dialect } = this.#options;
+    const { dialect, recipient } = this.#options;
+    const result = headers.get(RESULT_HEADER);
+    if (recipient.kind === "entry" && result !== undefined) {
+      return `entry-${result}`;
+    }
     const encoding = headers.get("content-encoding") ?? "identity";
     if (encoding.toLowerCase() !== "identity") return "encoded";
     if (headers.has("transfer-encoding") && !isChunked(headers)) {
@@ -361,6 +404,18 @@
   }
 }
 
+/** Headers that name the recipient, or tell it what happened to the request before. */
+function recipientHeaders(
+  { recipient, dialect }: AttemptOptions,
+): [string, string] {
+  switch (recipient.kind) {
+    case "target":
+      return [dialect.expectedTargetHeader, recipient.id];
+    case "entry":
+      return [FORWARDED_HEADER, formatForwarded(recipient.state)];
+  }
+}
+
 /** True if the answer is sent in chunks, and in no other transfer coding. */
 function isChunked(headers: ReadonlyMap<string, string>): boolean {
   return headers.get("transfer-encoding")?.toLowerCase() === "chunked";
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -91,6 +91,15 @@
     dialect,
     log,
   });
+  const forwarded = new GatewayServer({
+    state,
+    runner,
+    stallMonitor,
+    dialect,
+    log,
+    servesEntries: true,
+  });
+  const callerServers = [callers, forwarded];
   const stateTask = new StateTask({
     store,
     state,
@@ -116,6 +125,7 @@
   let stopped: Promise<void> | undefined;
   stateTask.start();
   await callers.listen(settings.listen.callers);
+  await forwarded.listen(settings.listen.peers);
   const servers: Server[] = await Promise.all([
     serveReadiness(settings.listen.readiness, { dialect, isReady }),
     serveDirectory(settings.listen.directory, {
@@ -141,7 +151,9 @@
     runner.closeUnusedConnections();
     if (state.config && state.config.revision !== appliedRevision) {
       appliedRevision = state.config.revision;
-      callers.applyLimits(state.config.limits);
+      for (const server of callerServers) {
+        server.applyLimits(state.config.limits);
+      }
     }
   }, CLEANUP_INTERVAL_MILLIS);
   const readinessTimer = setInterval(() => {
@@ -202,25 +214,29 @@
     const stopAtMillis = performance.now();
     log.info("stopping", { inFlight: runner.inFlight });
     peers.announce();
-    callers.beginStop();
+    for (const server of callerServers) server.beginStop();
     const unregistered = store.unregister(self.id).catch((error: Error) =>
       log.warn("unregister_failed", { error: error.message })
     );
     const deadlineMillis = stopAtMillis + settings.graceMillis -
       GRACE_MARGIN_MILLIS;
     await pause(Math.min(LAME_DUCK_MILLIS, settings.graceMillis / 2));
-    await callers.closeListener();
-    while (callers.busyConnections > 0 && performance.now() < deadlineMillis) {
+    await Promise.all(callerServers.map((server) => server.closeListener()));
+    while (isBusy() && performance.now() < deadlineMillis) {
       await pause(STATUS_POLL_MILLIS);
     }
     await Promise.race([unregistered, pause(GRACE_MARGIN_MILLIS / 2)]);
     log.info("stopped", {
-      openAnswers: callers.openAnswers,
+      openAnswers: callers.openAnswers + forwarded.openAnswers,
       tookMillis: Math.round(performance.now() - stopAtMillis),
     });
     closeAll();
   }
 
+  function isBusy(): boolean {
+    return callerServers.some((server) => server.busyConnections > 0);
+  }
+
   function closeAll(): void {
     clearInterval(cleanupTimer);
     clearInterval(readinessTimer);
@@ -228,7 +244,7 @@
     peers.stop();
     stallMonitor.stop();
     runner.stop();
-    callers.close();
+    for (const server of callerServers) server.close();
     for (const server of servers) server.close();
     store.close();
     metrics.close().catch((error: Error) =>
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -28,6 +28,7 @@
   bamboolane_decisions: "Routing decisions by kind.",
   bamboolane_hedges: "Hedged attempts sent.",
   bamboolane_retries: "Attempts after the first.",
+  bamboolane_forwards: "Requests forwarded to other instances.",
   bamboolane_invariant_checks: "Checks of each invariant.",
   bamboolane_invariant_breaches: "Breaches of each invariant.",
   bamboolane_heartbeats: "Heartbeat messages sent and received.",
--- a/packages/steering/src/member_view.ts
+++ b/packages/steering/src/member_view.ts
@@ -19,6 +19,8 @@
   serving: boolean;
   /** The entry can read the store. */
   reachesStore: boolean;
+  /** Services of which the entry reaches no target. */
+  unreachableServices: ReadonlySet<string>;
 }
 
 /** State that an entry reports in a heartbeat. */
@@ -29,6 +31,8 @@
   reachesStore: boolean;
   /** The entry's own requests in flight, by target. */
   inFlight: ReadonlyMap<string, number>;
+  /** Services of which the entry reaches no target. */
+  unreachableServices?: readonly string[];
 }
 
 /** State that a relay reports in a digest on behalf of its data centre. */
@@ -38,6 +42,8 @@
   serving: readonly string[];
   /** Requests in flight of all entries of the data centre, by target. */
   inFlight: ReadonlyMap<string, number>;
+  /** Services of which an entry reaches no target, by entry; empty lists are left out. */
+  unreachableServices?: Readonly<Record<string, readonly string[]>>;
 }
 
 /** Time without a heartbeat after which an entry counts as dead: several heartbeat intervals. */
@@ -48,6 +54,8 @@
  */
 export const DIGEST_TIMEOUT_MILLIS = 2500;
 
+const NO_SERVICES: ReadonlySet<string> = new Set();
+
 /** The other entries, by id. */
 export class MemberView {
   readonly #members = new Map<string, Member>();
@@ -85,6 +93,7 @@
       liveUntilMillis: -Infinity,
       serving: false,
       reachesStore: false,
+      unreachableServices: NO_SERVICES,
     });
   }
 
@@ -122,6 +131,7 @@
       liveUntilMillis,
       serving: state.serving,
       reachesStore: state.reachesStore,
+      unreachableServices: new Set(state.unreachableServices),
     });
     return isNew;
   }
@@ -148,6 +158,7 @@
       if (member.record.dataCentre !== relay.dataCentre) continue;
       member.serving = serving.delete(id);
       if (member.serving) member.liveUntilMillis = liveUntilMillis;
+      member.unreachableServices = new Set(state.unreachableServices?.[id]);
     }
     this.#inFlight.set(
       `data centre ${relay.dataCentre}`,
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -148,7 +148,10 @@
     if (target.isLeaving() || !input.isAllowed(target)) continue;
     if (input.exclude.has(target.record.id)) continue;
     if (target.isPaused(nowMillis)) {
-      usableAtMillis = Math.min(usableAtMillis, target.pausedUntilMillis);
+      usableAtMillis = Math.min(
+        usableAtMillis,
+        target.pauseEndMillis(nowMillis),
+      );
       continue;
     }
     const readyAtMillis = rateReadyAtMillis(target, input);
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -68,6 +68,14 @@
   #coldUntilMillis: number;
   #pausedUntilMillis = 0;
   #connectFailures = 0;
+  /** When the first of the latest failed connections failed. */
+  #unreachableSinceMillis: number | undefined;
+  /** When the target last answered or accepted a connection. */
+  #contactAtMillis = -Infinity;
+  /** When the target last became reachable again. */
+  #reachedAgainAtMillis = -Infinity;
+  /** When the oldest request was sent that the target has not reacted to since. */
+  #unansweredSinceMillis: number | undefined;
   #leaving = false;
   #reportedOthersInFlight = 0;
   #loadReportedAtMillis = -Infinity;
@@ -124,13 +132,67 @@
     return this.#connectFailures > 0;
   }
 
+  /** Since when connections to the target fail; undefined while they don't. */
+  get unreachableSinceMillis(): number | undefined {
+    return this.#unreachableSinceMillis;
+  }
+
+  /** Connections that failed in a row. */
+  get connectFailures(): number {
+    return this.#connectFailures;
+  }
+
+  /** When the target last answered or accepted a connection. */
+  get contactAtMillis(): number {
+    return this.#contactAtMillis;
+  }
+
+  /** When the target last became reachable again; -Infinity if it always was. */
+  get reachedAgainAtMillis(): number {
+    return this.#reachedAgainAtMillis;
+  }
+
+  /** Since when the target has not reacted to a request; undefined if it has to all. */
+  get unansweredSinceMillis(): number | undefined {
+    return this.#unansweredSinceMillis;
+  }
+
+  /**
+   * True if the target can't be reached, or counts as cold because it could not be
+   * until a short time ago.
+   */
+  isRecovering(nowMillis: number): boolean {
+    return this.isUnreachable || this.#suspectedCrash && this.isCold(nowMillis);
+  }
+
+  /** Records that the target answered on an open connection. */
+  recordContact(nowMillis: number): void {
+    this.#contactAtMillis = nowMillis;
+    this.#unansweredSinceMillis = this.ownInFlight > 0 ? nowMillis : undefined;
+  }
+
+  /**
+   * Records that the target accepted a connection. Open connections may live on while
+   * new ones fail, so that only this ends the target's being unreachable.
+   */
+  recordConnected(nowMillis: number): void {
+    this.recordContact(nowMillis);
+    if (!this.isUnreachable) return;
+    this.#connectFailures = 0;
+    this.#unreachableSinceMillis = undefined;
+    this.#reachedAgainAtMillis = nowMillis;
+    this.#pausedUntilMillis = nowMillis;
+  }
+
   isPaused(nowMillis: number): boolean {
-    return nowMillis < this.#pausedUntilMillis;
+    return this.isUnreachable || nowMillis < this.#pausedUntilMillis;
   }
 
-  /** End of the pause, on the clock of `nowMillis`. */
-  get pausedUntilMillis(): number {
-    return this.#pausedUntilMillis;
+  /** End of the pause, on the clock of `nowMillis`; expected if the target is unreachable. */
+  pauseEndMillis(nowMillis: number): number {
+    return this.isUnreachable
+      ? Math.max(this.#pausedUntilMillis, nowMillis + INITIAL_PAUSE_MILLIS)
+      : this.#pausedUntilMillis;
   }
 
   /** Share of recent attempts that failed, 0 to 1; a refusal counts as half a failure. */
@@ -186,6 +248,7 @@
 
   recordSend(object: string | undefined, nowMillis: number): void {
     this.ownInFlight++;
+    this.#unansweredSinceMillis ??= nowMillis;
     if (this.isCold(nowMillis)) this.warmupLimiter.take();
     if (this.isLimited) this.limitLimiter.take();
     if (object === undefined) return;
@@ -199,6 +262,7 @@
 
   recordEnd(): void {
     this.ownInFlight = Math.max(0, this.ownInFlight - 1);
+    if (this.ownInFlight === 0) this.#unansweredSinceMillis = undefined;
   }
 
   /** True if this entry recently sent the target a request for the object. */
@@ -227,7 +291,6 @@
     switch (result) {
       case AttemptResult.answered:
         this.#failureRate.add(0);
-        this.#connectFailures = 0;
         if (this.#suspectedCrash) {
           // The target restarted after a crash: its caches are empty.
           this.#suspectedCrash = false;
@@ -248,6 +311,7 @@
       case AttemptResult.unreachable:
         this.#failureRate.add(1);
         this.#suspectedCrash = true;
+        this.#unreachableSinceMillis ??= nowMillis;
         this.#recentObjects.clear();
         this.markCold(options.warmupMillis, nowMillis);
         this.#pausedUntilMillis = nowMillis +
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -46,6 +46,8 @@
   readonly #down = new Set<string>();
   /** Tables that can't be read as a whole. */
   readonly unreadableTables = new Set<StateTable>();
+  /** Addresses at which single clients reach targets, by client and real address. */
+  readonly #links = new Map<string, Map<string, string>>();
   /** Number of open watches by client. */
   readonly #openWatches = new Map<string, number>();
 
@@ -80,6 +82,12 @@
     else this.#down.delete(client);
   }
 
+  /** Lets one client see another address of a target than the others. */
+  setLink(client: string, address: string, linkAddress: string): void {
+    const links = this.#links.get(client) ?? new Map<string, string>();
+    this.#links.set(client, links.set(address, linkAddress));
+  }
+
   /** Clients with open watches, sorted. */
   watchers(): string[] {
     return [...this.#openWatches].filter(([, open]) => open > 0)
@@ -100,7 +108,8 @@
             throw new StoreError("busy", "table unavailable");
           }
           return {
-            rows: this.#rowsChangedAfter(table, 0).filter(exists),
+            rows: this.#rowsChangedAfter(table, 0).filter(exists)
+              .map((row) => this.#withLink(client, row)),
             version: this.#stateVersion(this.#version),
           };
         });
@@ -116,7 +125,8 @@
               eraOf(afterVersion) !== this.#era || after > this.#version ||
               after < this.#oldestVersion - 1
             ) return { kind: "gap" };
-            const rows = this.#rowsChangedAfter(table, after);
+            const rows = this.#rowsChangedAfter(table, after)
+              .map((row) => this.#withLink(client, row));
             const expired = closed || performance.now() > endMillis;
             if (rows.length > 0 || expired) {
               return {
@@ -155,6 +165,14 @@
     };
   }
 
+  #withLink(client: string, row: StateRow): StateRow {
+    if (row.kind !== "target" || row.record === undefined) return row;
+    const address = this.#links.get(client)?.get(row.record.address);
+    return address === undefined
+      ? row
+      : { ...row, record: { ...row.record, address } };
+  }
+
   #stateVersion(version: number): number {
     return toStateVersion({ era: this.#era, version });
   }
