Don't count what a cut breaks off as a crash

Cause: a request whose connection is reset and whose target then refuses connections counts as having crashed it. A cut does that to each request under way, and every entry is told; a second one would hold the request back for a minute at all of them. Change: a crash is counted 100 ms later, and not if three or more targets were lost within a second.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -16,6 +16,9 @@
 import type { AnswerHead, AttemptEnd } from "./send_attempt.ts";
 import { isConnectionRefused } from "./target_connections.ts";
 
+/** How long the loss of one target waits for that of others, which would prove a cut. */
+const CUT_EVIDENCE_MILLIS = 100;
+
 /** Options of {@link AttemptRecorder}. */
 export interface AttemptRecorderOptions {
   state: GatewayState;
@@ -170,7 +173,15 @@
       nowMillis: performance.now(),
       warmupMillis: state.warmupMillis(request.service),
     });
+    // A cut breaks off other requests at the same time.
+    await new Promise((resolve) => setTimeout(resolve, CUT_EVIDENCE_MILLIS));
     const nowMillis = performance.now();
+    if (state.lostLinks(nowMillis)) {
+      return log.info("crash_unproven", {
+        request: request.id,
+        target: target.record.id,
+      });
+    }
     state.crashes.recordCrash(request.fingerprint, target.record.id, nowMillis);
     log.warn("target_crashed", {
       request: request.id,
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -48,6 +48,10 @@
 /** Warm-up time of targets whose service configures none. */
 const DEFAULT_WARMUP_MILLIS = 3000;
 
+/** Targets that must be lost within the window for a cut to be suspected. */
+const MIN_LOST_LINKS = 3;
+const LOST_LINKS_WINDOW_MILLIS = 1000;
+
 const NO_RATE_SHARE: RateShare = { perSecond: 0, burst: 1 };
 const UNLIMITED_RATE_SHARE: RateShare = { perSecond: Infinity, burst: 1 };
 
@@ -188,6 +192,21 @@
     return count;
   }
 
+  /**
+   * True if connections to several targets began to fail at about the same time: a
+   * request rarely crashes so many, but a cut affects all.
+   */
+  lostLinks(nowMillis: number): boolean {
+    let count = 0;
+    for (const { unreachableSinceMillis } of this.targets.all()) {
+      if (
+        unreachableSinceMillis !== undefined &&
+        nowMillis - unreachableSinceMillis < LOST_LINKS_WINDOW_MILLIS
+      ) count++;
+    }
+    return count >= MIN_LOST_LINKS;
+  }
+
   /** Services that have targets of which this entry reaches none. */
   unreachableServices(): string[] {
     return [...this.#services.keys()].filter((service) => {
