Let the scenario on just accepted connections see the wait for their request

Change: a grace period of 4 s, and requests 100 ms after their connections, which is what the scenario meant to try. Every request must still be answered, and every connection closed after an answer that announced it.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -211,8 +211,8 @@
 
   Scenario: A stop answers the first request on a connection that was just accepted
     Given a target "t1" that answers
-    And an entry "e1"
-    When callers of "e1" connect until it refuses connections, and each sends a request 50 ms later
+    And an entry "e1" with a grace period of 4 s
+    When callers of "e1" connect until it refuses connections, and each sends a request 100 ms later
     Then each request was answered, and each connection was closed after an answer that announced it
 
   Scenario: A stop announces the close of a connection with a rejection too
--- a/packages/gateway/features/stop_steps.ts
+++ b/packages/gateway/features/stop_steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
-import { Before, Then, When } from "@cucumber/cucumber";
+import { Before, Given, Then, When } from "@cucumber/cucumber";
 import { call, gatewayOf, pause, world } from "./support/scenario.ts";
 
 const REQUEST_HEAD = "GET /read/x HTTP/1.1\r\nHost: test.example\r\n" +
@@ -97,6 +97,12 @@
   },
 );
 
+Given(
+  "an entry {string} with a grace period of {int} s",
+  (id: string, seconds: number) =>
+    world.system.addEntry(id, { graceMillis: seconds * 1000 }),
+);
+
 When(
   "callers of {string} connect until it refuses connections, and each sends a request {int} ms later",
   async (entry: string, millis: number) => {
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -165,6 +165,7 @@
       dataCentre?: string;
       /** Region a unless given. */
       region?: string;
+      graceMillis?: number;
     } = {},
   ): Promise<void> {
     if (options.storeUnavailable) this.store.setUnavailable(id, true);
@@ -184,7 +185,7 @@
         this.entries.get(seed)?.settings.listen.state ?? seed
       ),
       dataCentres: { a1: "a", a2: "a", b1: "b" },
-      graceMillis: 1200,
+      graceMillis: options.graceMillis ?? 1200,
       lookupTtlMillis: 1000,
       // A high ratio replaces requests that would earn the budget first.
       retryBudget: {
