Check the reach of targets only when an answer is overdue

Change: a target is silent once an answer takes one and a half times what was expected, 0.4 s at least. A plan sums up groups only if a target is silent or unreachable. A silent target that proves unreachable lets the next one be checked at once.

--- a/packages/gateway/src/reach_monitor.ts
+++ b/packages/gateway/src/reach_monitor.ts
@@ -8,6 +8,7 @@
 import {
   planReachChecks,
   type ReachCheck,
+  type ReachState,
 } from "@bamboolane/steering/plan_reach_checks";
 import {
   AttemptResult,
@@ -36,16 +37,11 @@
 /** Round trips after which a connection counts as failed. */
 const CHECK_ROUND_TRIPS = 3;
 
-interface CheckState {
-  checkedAtMillis: number;
-  checking: boolean;
-}
-
 /** Task that owns the connections of the checks. */
 export class ReachMonitor {
   readonly #options: ReachMonitorOptions;
   readonly #timer: NodeJS.Timeout;
-  #checks = new WeakMap<TargetState, CheckState>();
+  readonly #states = new WeakMap<TargetState, ReachState>();
   #silentCheckAtMillis = -Infinity;
 
   constructor(options: ReachMonitorOptions) {
@@ -59,10 +55,10 @@
 
   #plan(): void {
     const nowMillis = performance.now();
-    const states = [...this.#options.state.targets.all()].map((target) => ({
-      target,
-      ...this.#checkState(target),
-    }));
+    const states: ReachState[] = [];
+    for (const target of this.#options.state.targets.all()) {
+      states.push(this.#stateOf(target));
+    }
     const checks = planReachChecks(states, {
       nowMillis,
       silentCheckAllowed: nowMillis - this.#silentCheckAtMillis >=
@@ -76,31 +72,37 @@
     }
   }
 
-  #checkState(target: TargetState): CheckState {
-    return this.#checks.get(target) ??
-      { checkedAtMillis: -Infinity, checking: false };
+  #stateOf(target: TargetState): ReachState {
+    let state = this.#states.get(target);
+    if (state === undefined) {
+      state = { target, checkedAtMillis: -Infinity, checking: false };
+      this.#states.set(target, state);
+    }
+    return state;
   }
 
   async #check(check: ReachCheck, startMillis: number): Promise<void> {
     const { target, reason } = check;
     const { state, roundTrips, log } = this.#options;
-    this.#checks.set(target, { checkedAtMillis: startMillis, checking: true });
+    const reach = this.#stateOf(target);
+    reach.checkedAtMillis = startMillis;
+    reach.checking = true;
     const failure = await tryConnection(target.record.address, {
       timeoutMillis: CHECK_TIMEOUT_MILLIS +
         CHECK_ROUND_TRIPS * roundTrips.estimateMillis(target),
     });
-    this.#checks.set(target, { checkedAtMillis: startMillis, checking: false });
+    reach.checking = false;
     if (state.targets.get(target.record.id) !== target) return;
     const nowMillis = performance.now();
     if (failure === undefined) {
-      if (target.isUnreachable) {
-        log.info("target_reachable", { target: target.record.id });
-      }
       const wasUnreachable = target.isUnreachable;
       target.recordConnected(nowMillis);
-      if (wasUnreachable) this.#options.onReachable();
-      return;
+      if (!wasUnreachable) return;
+      log.info("target_reachable", { target: target.record.id });
+      return this.#options.onReachable();
     }
+    // The next silent target may be behind the same link.
+    if (reason === "silent") this.#silentCheckAtMillis = -Infinity;
     if (!target.isUnreachable) {
       log.warn("target_unreachable", {
         target: target.record.id,
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -249,6 +249,7 @@
     if (remainingMillis < MIN_SEND_MILLIS) return;
     const inFlight = target.inFlight(nowMillis);
     this.#placer.serviceState(request.service).departures.add(1, nowMillis);
+    target.expectAnswerWithin(placement.finishMillis);
     target.recordSend(request.object, nowMillis);
     request.triedTargets.add(record.id);
     request.sends++;
--- a/packages/steering/src/plan_reach_checks.ts
+++ b/packages/steering/src/plan_reach_checks.ts
@@ -32,7 +32,7 @@
   reason: ReachCheckReason;
 }
 
-/** Time without a reaction from which a target counts as silent. */
+/** Time without an answer from which a target or a group of them is not known to be reachable. */
 const SILENCE_MILLIS = 400;
 /** Minimum time between two checks of a silent target. */
 const SILENT_RECHECK_MILLIS = 2000;
@@ -56,33 +56,26 @@
   options: { nowMillis: number; silentCheckAllowed: boolean },
 ): ReachCheck[] {
   const { nowMillis } = options;
-  const failed = new Map<string, number>();
-  const heard = new Map<string, number>();
-  const back = new Map<string, number>();
-  for (const { target } of states) {
-    const since = target.unreachableSinceMillis;
-    for (const group of groupsOf(target)) {
-      if (since !== undefined) {
-        if (nowMillis - since < EVIDENCE_MILLIS) {
-          failed.set(group, (failed.get(group) ?? 0) + 1);
-        }
-        continue;
-      }
-      raise(heard, group, target.contactAtMillis);
-      raise(back, group, target.reachedAgainAtMillis);
-    }
-  }
+  const isCalm = states.every(({ target }) =>
+    !target.isUnreachable && !target.isSilent(nowMillis)
+  );
+  if (isCalm) return [];
+  const groups = summarizeGroups(states, nowMillis);
   const checks: ReachCheck[] = [];
   let again = 0;
   let silent: ReachState | undefined;
   for (const state of rotate(states, nowMillis)) {
     const { target } = state;
     if (state.checking || target.isLeaving()) continue;
-    const groups = groupsOf(target);
+    const { dataCentre, service } = target.record;
+    const own = [
+      groups.dataCentres.get(dataCentre) as GroupState,
+      groups.services.get(service) as GroupState,
+    ];
     const sinceCheckMillis = nowMillis - state.checkedAtMillis;
     if (target.isUnreachable) {
-      const isGroupBack = groups.some((group) =>
-        (back.get(group) ?? -Infinity) > state.checkedAtMillis
+      const isGroupBack = own.some(({ backAtMillis }) =>
+        backAtMillis > state.checkedAtMillis
       );
       const intervalMillis = Math.min(
         MAX_RECHECK_MILLIS,
@@ -97,9 +90,7 @@
       }
       continue;
     }
-    const isSuspected = groups.some((group) =>
-      (failed.get(group) ?? 0) >= MIN_FAILED_TARGETS
-    );
+    const isSuspected = own.some(({ failed }) => failed >= MIN_FAILED_TARGETS);
     const sinceContactMillis = nowMillis - target.contactAtMillis;
     if (
       isSuspected && sinceContactMillis >= SILENCE_MILLIS &&
@@ -109,10 +100,10 @@
       continue;
     }
     if (
-      unansweredMillis(target, nowMillis) >= SILENCE_MILLIS &&
+      target.isSilent(nowMillis) &&
       sinceCheckMillis >= SILENT_RECHECK_MILLIS &&
-      groups.some((group) =>
-        nowMillis - (heard.get(group) ?? -Infinity) >= SILENCE_MILLIS
+      own.some(({ heardAtMillis }) =>
+        nowMillis - heardAtMillis >= SILENCE_MILLIS
       ) &&
       unansweredMillis(target, nowMillis) >
         (silent ? unansweredMillis(silent.target, nowMillis) : 0)
@@ -125,9 +116,56 @@
   return checks.slice(0, Math.max(0, MAX_CHECKS - underWay));
 }
 
-function groupsOf(target: TargetState): string[] {
-  const { dataCentre, service } = target.record;
-  return [`data centre ${dataCentre}`, `service ${service}`];
+/** Evidence from all targets of one data centre or service. */
+interface GroupState {
+  /** Targets whose connections began to fail a short time ago. */
+  failed: number;
+  /** When a reachable target was last heard. */
+  heardAtMillis: number;
+  /** When a target last became reachable again. */
+  backAtMillis: number;
+}
+
+interface Groups {
+  dataCentres: Map<string, GroupState>;
+  services: Map<string, GroupState>;
+}
+
+function summarizeGroups(
+  states: readonly ReachState[],
+  nowMillis: number,
+): Groups {
+  const groups: Groups = { dataCentres: new Map(), services: new Map() };
+  for (const { target } of states) {
+    const { dataCentre, service } = target.record;
+    addEvidence(groupOf(groups.dataCentres, dataCentre), target, nowMillis);
+    addEvidence(groupOf(groups.services, service), target, nowMillis);
+  }
+  return groups;
+}
+
+function groupOf(groups: Map<string, GroupState>, key: string): GroupState {
+  let group = groups.get(key);
+  if (group === undefined) {
+    group = { failed: 0, heardAtMillis: -Infinity, backAtMillis: -Infinity };
+    groups.set(key, group);
+  }
+  return group;
+}
+
+function addEvidence(
+  group: GroupState,
+  target: TargetState,
+  nowMillis: number,
+): void {
+  const sinceMillis = target.unreachableSinceMillis;
+  if (sinceMillis === undefined) {
+    group.heardAtMillis = Math.max(group.heardAtMillis, target.contactAtMillis);
+    group.backAtMillis = Math.max(
+      group.backAtMillis,
+      target.reachedAgainAtMillis,
+    );
+  } else if (nowMillis - sinceMillis < EVIDENCE_MILLIS) group.failed++;
 }
 
 function unansweredMillis(target: TargetState, nowMillis: number): number {
@@ -135,10 +173,6 @@
   return sinceMillis === undefined ? 0 : nowMillis - sinceMillis;
 }
 
-function raise(map: Map<string, number>, key: string, value: number): void {
-  map.set(key, Math.max(map.get(key) ?? -Infinity, value));
-}
-
 /** Starts at another item each time, so that none is always last. */
 function rotate<T>(items: readonly T[], turn: number): T[] {
   const start = Math.floor(turn) % Math.max(1, items.length);
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -49,6 +49,11 @@
 const SLOWDOWN_SAMPLE_WEIGHT = 0.08;
 const SLOWDOWN_FACTOR_BOUNDS = { lower: 0.4, upper: 5 } as const;
 
+/** Minimum time without a reaction from which a target counts as silent. */
+const MIN_SILENCE_MILLIS = 400;
+/** Factor on the expected time to an answer, as estimates are rough. */
+const SILENCE_FACTOR = 1.5;
+
 /** State of one target as estimated by this entry. */
 export class TargetState {
   record: TargetRecord;
@@ -76,6 +81,8 @@
   #reachedAgainAtMillis = -Infinity;
   /** When the oldest request was sent that the target has not reacted to since. */
   #unansweredSinceMillis: number | undefined;
+  /** Time in which the latest request was expected to be answered. */
+  #expectedAnswerMillis = 0;
   #leaving = false;
   #reportedOthersInFlight = 0;
   #loadReportedAtMillis = -Infinity;
@@ -157,6 +164,15 @@
     return this.#unansweredSinceMillis;
   }
 
+  /** True if the target should have reacted to a request by now. */
+  isSilent(nowMillis: number): boolean {
+    return this.#unansweredSinceMillis !== undefined &&
+      nowMillis - this.#unansweredSinceMillis >= Math.max(
+          MIN_SILENCE_MILLIS,
+          this.#expectedAnswerMillis * SILENCE_FACTOR,
+        );
+  }
+
   /**
    * True if the target can't be reached, or counts as cold because it could not be
    * until a short time ago.
@@ -246,6 +262,11 @@
     this.#loadReportedAtMillis = nowMillis;
   }
 
+  /** Sets the time in which the next request is expected to be answered. */
+  expectAnswerWithin(millis: number): void {
+    this.#expectedAnswerMillis = millis;
+  }
+
   recordSend(object: string | undefined, nowMillis: number): void {
     this.ownInFlight++;
     this.#unansweredSinceMillis ??= nowMillis;
