--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -1,9 +1,9 @@
 /**
- * The HTTP server for callers, and for other entries that forward requests. It checks requests against the configuration and
- * the limits in force, passes them to the runner, and closes connections
- * gracefully when the process stops: callers may go on using open connections,
- * and the last pending answer of each one announces its close. Connections that
- * stay idle are closed together with the listener.
+ * The HTTP server for callers, or for other entries that forward requests. It checks
+ * requests against the configuration and the limits in force, passes them to the
+ * runner, and closes connections gracefully when the process stops: callers may go on
+ * using open connections, and the last pending answer of each one announces its
+ * close. Connections that stay idle are closed together with the listener.
  */
 import {
   createServer,
@@ -62,7 +62,7 @@
   idleTimeoutMillis: 15_000,
 };
 
-/** Serves callers. */
+/** Serves callers or other entries. */
 export class GatewayServer {
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -153,8 +153,9 @@
   }
 
   /**
-   * Detects a restore of the store, and counts it as the end of an outage, also where no call failed
-   * meanwhile: records may be missing because the copy was older than they are.
+   * Detects a restore of the store, and counts it as the end of an outage, also where
+   * no call failed meanwhile: records may be missing because the copy was older than
+   * they are.
    */
   #recordEra(
     table: StateTable,
--- a/packages/steering/src/plan_reach_checks.ts
+++ b/packages/steering/src/plan_reach_checks.ts
@@ -138,8 +138,11 @@
   const groups: Groups = { dataCentres: new Map(), services: new Map() };
   for (const { target } of states) {
     const { dataCentre, service } = target.record;
-    addEvidence(groupOf(groups.dataCentres, dataCentre), target, nowMillis);
-    addEvidence(groupOf(groups.services, service), target, nowMillis);
+    const ownGroups = [
+      groupOf(groups.dataCentres, dataCentre),
+      groupOf(groups.services, service),
+    ];
+    for (const group of ownGroups) addEvidence(group, { target, nowMillis });
   }
   return groups;
 }
@@ -155,8 +158,7 @@
 
 function addEvidence(
   group: GroupState,
-  target: TargetState,
-  nowMillis: number,
+  { target, nowMillis }: { target: TargetState; nowMillis: number },
 ): void {
   const sinceMillis = target.unreachableSinceMillis;
   if (sinceMillis === undefined) {
--- a/packages/steering/src/target_registry.ts
+++ b/packages/steering/src/target_registry.ts
@@ -96,7 +96,10 @@
       return this.#drop(row, known, options);
     }
     if (eraOf(row.version) > eraOf(newest)) {
-      const effect = this.#applyOutdated(row, row.record, options.nowMillis);
+      const effect = this.#applyOutdated(
+        { ...row, record: row.record },
+        options.nowMillis,
+      );
       if (effect !== undefined) return effect;
     }
     this.#lapsed.delete(row.id);
@@ -203,10 +206,10 @@
    * row that says something new.
    */
   #applyOutdated(
-    row: TargetRow,
-    record: TargetRecord,
+    row: TargetRow & { record: TargetRecord },
     nowMillis: number,
   ): "outdated" | "held" | undefined {
+    const { record } = row;
     const known = this.#targets.get(row.id);
     const ended = this.#ended.get(row.id)?.record;
     const isOfEnded = ended !== undefined && isSameIncarnation(ended, record) &&
