Mutations for the two new bounds

Cause: neither the order across restores nor the single hop of a forwarded request was in the mutation test, and no scenario tried the second: entries that reach no target say so, so none is chosen as the next hop while all goes well. Change: a scenario that sends an entry a forwarded request while its own links are cut, and a mutation for each bound.

--- a/packages/gateway/features/cut_links.feature
+++ b/packages/gateway/features/cut_links.feature
@@ -45,6 +45,10 @@
     Then a request at "e1" is refused within 300 ms with a Retry-After
     And no request was forwarded more than once by each entry
 
+  Scenario: A request that another entry forwarded is not forwarded again
+    When the links of "e1" are cut so that they hang, under load for 2500 ms
+    Then a request that is forwarded to "e1" is refused there as not run
+
   Scenario: A request is not forwarded to a region that may not run it
     When "e2" stops
     And an entry "e4" in data centre "b1" of region "b"
--- a/packages/gateway/features/cut_links_steps.ts
+++ b/packages/gateway/features/cut_links_steps.ts
@@ -3,6 +3,12 @@
  */
 import assert from "node:assert/strict";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { request } from "undici";
+import {
+  formatForwarded,
+  FORWARDED_HEADER,
+  RESULT_HEADER,
+} from "@bamboolane/gateway/forwarding_headers";
 import { parseLine } from "@bamboolane/logger/parse_line";
 import { CuttableLink, type LinkCut } from "@bamboolane/standins/cuttable_link";
 import {
@@ -222,6 +228,32 @@
     assert.equal((await call(entry, path)).status, 200),
 );
 
+Then(
+  "a request that is forwarded to {string} is refused there as not run",
+  async (entry: string) => {
+    const id = "forwarded-before";
+    const answer = await request(
+      `http://${world.system.settings(entry).listen.peers}/read/x`,
+      {
+        headers: {
+          host: "test.example",
+          "test-request": id,
+          "test-deadline": "1000",
+          [FORWARDED_HEADER]: formatForwarded({ sends: 0, elapsedMillis: 10 }),
+        },
+      },
+    );
+    await answer.body.dump();
+    assert.equal(answer.statusCode, 503);
+    assert.equal(answer.headers[RESULT_HEADER], "refused");
+    await pause(100);
+    const again = linesOf(entry, "forward").filter((fields) =>
+      fields.get("request") === id
+    );
+    assert.deepEqual(again, []);
+  },
+);
+
 Then("no request was forwarded more than once by each entry", async () => {
   await pause(100);
   for (const entry of links.keys()) {
--- a/tools/src/check/break_invariants.ts
+++ b/tools/src/check/break_invariants.ts
@@ -145,6 +145,24 @@
     scenario:
       "Retries stay within the fleet's budget during a retry storm at all entries",
   },
+  {
+    name: "state-version",
+    detection: "failure",
+    file: "packages/steering/dist/state_version.js",
+    find: "era * VERSIONS_PER_ERA + version",
+    replace: "version",
+    feature: "packages/steering/features/restore.feature",
+    scenario: "Versions of a later era are higher, however small they are",
+  },
+  {
+    name: "forward-once",
+    detection: "failure",
+    file: "packages/gateway/dist/peer_forwarder.js",
+    find: "request.isForwarded ||",
+    replace: "",
+    feature: "packages/gateway/features/cut_links.feature",
+    scenario: "A request that another entry forwarded is not forwarded again",
+  },
 ];
 
 /** Runs the mutation's scenario in the copy and returns its output. */
