--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -16,7 +16,7 @@
     directory: string;
     /** State for other entries. */
     state: string;
-    /** Datagrams between entries. */
+    /** Datagrams between entries (UDP), and requests that they forward (TCP). */
     peers: string;
     /** Metrics; empty for none. */
     metrics: string;
--- a/packages/steering/src/steering_config.ts
+++ b/packages/steering/src/steering_config.ts
@@ -98,7 +98,7 @@
   region: string;
   /** `ip:port` for callers. */
   callerAddress: string;
-  /** `ip:port` for datagrams between entries. */
+  /** `ip:port` for datagrams between entries, and for forwarded requests. */
   peerAddress: string;
   /** `ip:port` from which other entries read this entry's state. */
   stateAddress: string;
