Review cases 1 and 5: count requests of kept connections only

The rule (LOST) speaks of kept connections; the check also counted the first request of a connection that was made after a restart.

--- a/review/harness/client.js
+++ b/review/harness/client.js
@@ -14,6 +14,8 @@
     this.waiting = [];
     this.closing = false;
     this.ended = false;
+    /** True once an answer has come: further requests are those of a kept connection. */
+    this.kept = false;
     this.reader = new AnswerReader();
     this.socket = connect({ host, port: Number(port), noDelay: true });
     this.opened = new Promise((resolve) =>
@@ -41,7 +43,7 @@
       this.waiting.push(request);
       this.socket.write(head);
       if (body) this.socket.write(body);
-      this.record.sent(id);
+      this.record.sent(id, { kept: this.kept });
     });
   }
 
@@ -54,6 +56,7 @@
     while (this.waiting.length > 0) {
       const answer = this.reader.next();
       if (answer === undefined) return;
+      this.kept = true;
       if (answer.closes) this.closing = true;
       const { id, resolve } = this.waiting.shift();
       this.record.answered(id, answer.status, answer.closes);
--- a/review/harness/record.js
+++ b/review/harness/record.js
@@ -29,8 +29,8 @@
     return request;
   }
 
-  sent(id) {
-    this.of(id).sentAt = this.now;
+  sent(id, { kept }) {
+    Object.assign(this.of(id), { sentAt: this.now, kept });
     this.note(`client sent ${id}`);
   }
 
