Send no request twice on one connection to a target

Callers' requests that must not be repeated ran twice, or ran after a 503, where a target refuses a request and sends the refusal again when the request comes back on the same connection. The copy names the request that is under way there.

Cause: an entry took an answer's id for proof that the answer belongs to the attempt. That holds only where the id was never answered on the connection before. Connections are reused last in, first out, so a caller's second try goes to the very connection that its first try was refused on.

Each connection to a target or another entry now knows the ids that it carried, and a request goes to the last used one that hasn't carried it. A connection is closed after 256 requests, which bounds that memory. Requests without an id get a new connection, as their answers name nothing. Answers without an id no longer set a target's load or limit, as they already didn't set its leaving or pause. A new log line, answer_unmatched, and connectionUse of send lines show such answers.

--- /dev/null
+++ b/packages/gateway/features/support/copying_target.ts
@@ -0,0 +1,109 @@
+/**
+ * Targets that refuse each request once and send copies of their refusals.
+ */
+import type { Socket } from "node:net";
+import { formatResponse } from "@bamboolane/standins/scripted_target";
+import { pause, world } from "./scenario.ts";
+import { answerValidly } from "./target_answers.ts";
+
+/** Time that the target works on a request whose answer follows a copy. */
+const WORK_MILLIS = 30;
+
+/** When a copy is sent. */
+export type CopyMoment =
+  | "before the next answer"
+  | "in pieces before the next answer"
+  | "before the next request's body was read"
+  | "half behind the refusal, half later"
+  | "right behind the refusal"
+  | "40 ms behind the refusal";
+
+/** Number of runs, by the id of the request. */
+export const runs = new Map<string, number>();
+
+/** A refusal that was sent, and the connection that carried it. */
+interface Refusal {
+  text: string;
+  connection: number;
+}
+
+/** Adds a target that sends its refusals again. */
+export function addCopyingTarget(
+  id: string,
+  options: {
+    status: number;
+    moment: CopyMoment;
+    headers?: Record<string, string>;
+  },
+): Promise<void> {
+  const { status, moment, headers } = options;
+  const refusals = new Map<string, Refusal>();
+  return world.system.addTarget(id, async (received, socket) => {
+    const requestId = received.headers["test-request"];
+    const refusal = refusals.get(requestId);
+    if (refusal === undefined) {
+      const text = formatResponse(status, {
+        "Test-Request": requestId,
+        "Test-Not-Run": "1",
+        ...headers,
+      }, "refused");
+      refusals.set(requestId, { text, connection: received.connection });
+      await sendRefusal(text, { moment, socket });
+      return;
+    }
+    runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+    if (refusal.connection === received.connection) {
+      await sendCopy(refusal.text, { moment, socket });
+    }
+    await pause(WORK_MILLIS);
+    answerValidly(received, socket);
+  }, { respondOnHead: moment === "before the next request's body was read" });
+}
+
+async function sendRefusal(
+  text: string,
+  options: { moment: CopyMoment; socket: Socket },
+): Promise<void> {
+  const { moment, socket } = options;
+  switch (moment) {
+    case "right behind the refusal":
+      socket.write(text + text);
+      return;
+    case "half behind the refusal, half later":
+      socket.write(text + text.slice(0, text.length / 2));
+      return;
+    case "40 ms behind the refusal":
+      socket.write(text);
+      await pause(40);
+      socket.write(text);
+      return;
+    case "before the next answer":
+    case "in pieces before the next answer":
+    case "before the next request's body was read":
+      socket.write(text);
+  }
+}
+
+async function sendCopy(
+  text: string,
+  options: { moment: CopyMoment; socket: Socket },
+): Promise<void> {
+  const { moment, socket } = options;
+  switch (moment) {
+    case "before the next answer":
+    case "before the next request's body was read":
+      socket.write(text);
+      return;
+    case "in pieces before the next answer":
+      for (const part of text.split(/(?<=\r\n)/)) {
+        socket.write(part);
+        await pause(2);
+      }
+      return;
+    case "half behind the refusal, half later":
+      socket.write(text.slice(text.length / 2));
+      return;
+    case "right behind the refusal":
+    case "40 ms behind the refusal":
+  }
+}
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -61,6 +61,7 @@
   ): void {
     const { target, head, nowMillis } = options;
     const { dialect } = this.#options;
+    if (!head.namesRequest) return;
     // Another target than the expected one answers this way.
     if (head.status === dialect.misdirectedStatus) return;
     const load = head.load === undefined
@@ -167,6 +168,13 @@
       case "lost":
       case "stream-cut":
         target.recordResult(AttemptResult.lost, health);
+        if (end.kind === "lost" && end.namedRequest !== undefined) {
+          log.warn("answer_unmatched", {
+            request: request.id,
+            target: target.record.id,
+            named: end.namedRequest,
+          });
+        }
         if (end.kind === "lost" && !end.corrupt) {
           this.#checkCrash(request, target);
         }
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -75,7 +75,7 @@
     const nowMillis = performance.now();
     const remainingMillis = request.expiresAtMillis - nowMillis;
     const connections = this.#connectionsTo(peer.peerAddress);
-    const connection = connections.acquire(nowMillis);
+    const connection = connections.acquire(request.id, nowMillis);
     this.#adjust(peer.id, 1);
     log.info("forward", {
       request: request.id,
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -331,7 +331,7 @@
     request.arrivals++;
     request.possibleRuns++;
     const connections = this.#connectionsTo(target);
-    const connection = connections.acquire(nowMillis);
+    const connection = connections.acquire(request.id, nowMillis);
     log.info("send", {
       request: request.id,
       target: record.id,
@@ -343,6 +343,7 @@
       ),
       warm: placement.warm,
       limitPerSecond: target.requestLimit.perSecond,
+      connectionUse: connection.requestCount,
       waitMillis: Math.round(placement.waitMillis),
       expectedMillis: Math.round(placement.finishMillis),
       leftMillis: Math.round(remainingMillis),
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -51,7 +51,13 @@
    * Sent, but without a valid answer; the request may have run. `corrupt` if an
    * answer arrived that must not be forwarded.
    */
-  | { kind: "lost"; reason: string; corrupt: boolean };
+  | {
+    kind: "lost";
+    reason: string;
+    corrupt: boolean;
+    /** What an answer named that doesn't belong to the request; empty for no id. */
+    namedRequest?: string;
+  };
 
 /** Statuses of answers that never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -61,16 +67,15 @@
   status: number;
   /** The target proved that it did not run the request. */
   notRun: boolean;
+  /** False for an answer without an id; such a one states nothing about its target. */
+  namesRequest: boolean;
   /** The target's load header, if any. */
   load: string | undefined;
   /** The target's limit header, if any. */
   limit: string | undefined;
-  /** The target says that it leaves; only an answer that names its request counts. */
+  /** The target says that it leaves. */
   leaving: boolean;
-  /**
-   * Retry-After of a target that turned the request away, under the same condition;
-   * undefined if there is none.
-   */
+  /** Retry-After of a target that turned the request away; undefined if there is none. */
   retryAfter: string | undefined;
 }
 
@@ -199,19 +204,19 @@
         kind: "lost",
         reason: "other-request",
         corrupt: true,
+        namedRequest: headersByName.get(dialect.requestIdHeader) ?? "",
       });
     }
     this.#notRun = this.#isNotRun(status, headersByName);
-    const isNamed = headersByName.has(dialect.requestIdHeader);
     const leaving = headersByName.get(dialect.leavingHeader);
     onHead({
       status,
       notRun: this.#notRun,
+      namesRequest: headersByName.has(dialect.requestIdHeader),
       load: headersByName.get(dialect.loadHeader),
       limit: headersByName.get(dialect.limitHeader),
-      leaving: isNamed && leaving !== undefined &&
-        dialect.parseLeaving(leaving),
-      retryAfter: isNamed && PAUSE_STATUSES.has(status)
+      leaving: leaving !== undefined && dialect.parseLeaving(leaving),
+      retryAfter: PAUSE_STATUSES.has(status)
         ? headersByName.get("retry-after")
         : undefined,
     });
@@ -324,8 +329,9 @@
   }
 
   /**
-   * False if the answer may be a late copy of another request's: it names that
-   * one, or none on a connection that was used before.
+   * False if the answer may be a late copy of an earlier one on this connection. An id
+   * tells, since the connection has not carried this one before; an answer without an id
+   * counts only if nothing else was sent there.
    */
   #answersThisRequest(headers: ReadonlyMap<string, string>): boolean {
     const { connection, dialect } = this.#options;
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -3,6 +3,9 @@
  * time. The most recently used idle one is reused first, so that few stay open.
  * A connection whose request got no answer is never reused; when a request
  * expires, connections that were idle since before its send are closed too.
+ *
+ * A target may answer a request again later. The answer's id tells such a copy from
+ * the answer to another request, so no connection carries the same id twice.
  */
 import { connect, type Socket } from "node:net";
 import { buildConnector, Client } from "undici";
@@ -26,6 +29,8 @@
  * proved dead: a few idle timeouts.
  */
 const REDUCED_IDLE_PERIOD_MILLIS = 10_000;
+/** Requests after which a connection is closed; bounds the memory for their ids. */
+const MAX_REQUESTS_PER_CONNECTION = 256;
 /** Timeout of the check whether a target's port is closed. */
 const PORT_CHECK_TIMEOUT_MILLIS = 300;
 
@@ -143,6 +148,7 @@
   readonly #closeProbe = new CloseProbe();
   readonly #headGuard = new HeadGuard();
   readonly #readingPause = new ReadingPause();
+  readonly #carriedIds = new Set<string>();
 
   constructor(
     address: string,
@@ -176,6 +182,24 @@
     return this.lastUsedAtMillis > 0;
   }
 
+  /** Requests that the connection has carried, with the current one. */
+  get requestCount(): number {
+    return this.#carriedIds.size;
+  }
+
+  /**
+   * True if an answer to a request with this id could not be told from a copy of an
+   * earlier answer. Answers to requests without an id name none.
+   */
+  isAmbiguousFor(requestId: string): boolean {
+    return requestId === "" ? this.isReused : this.#carriedIds.has(requestId);
+  }
+
+  /** Records the request that the connection is about to carry. */
+  carry(requestId: string): void {
+    this.#carriedIds.add(requestId);
+  }
+
   /** Announces that a request is sent, so that the size of its answer's head is bounded. */
   expectHead(): void {
     this.#headGuard.expectHead();
@@ -238,15 +262,14 @@
     return this.#open;
   }
 
-  /** Returns an idle connection, or a new one that connects with its first request. */
-  acquire(nowMillis: number): TargetConnection {
-    const idle = this.#takeIdle(nowMillis);
-    if (idle) return idle;
-    this.#open++;
-    const connection: TargetConnection = new TargetConnection(this.#address, {
-      onClosed: () => this.#remove(connection),
-      onConnected: () => this.#onConnected(performance.now() - nowMillis),
-    });
+  /**
+   * Returns a connection for a request: an idle one, or a new one that connects with
+   * its first request.
+   */
+  acquire(requestId: string, nowMillis: number): TargetConnection {
+    const connection = this.#takeIdle(requestId, nowMillis) ??
+      this.#create(nowMillis);
+    connection.carry(requestId);
     return connection;
   }
 
@@ -264,6 +287,9 @@
 
   /** Keeps a connection for reuse, unless it was closed. */
   release(connection: TargetConnection, nowMillis: number): void {
+    if (connection.requestCount >= MAX_REQUESTS_PER_CONNECTION) {
+      return this.discard(connection);
+    }
     connection.lastUsedAtMillis = nowMillis;
     if (connection.connected && !connection.client.destroyed) {
       this.#idle.push(connection);
@@ -287,20 +313,38 @@
     for (const connection of [...this.#idle]) this.discard(connection);
   }
 
-  /** Takes the most recently used idle connection, unless it was idle for too long. */
-  #takeIdle(nowMillis: number): TargetConnection | undefined {
-    const connection = this.#idle[this.#idle.length - 1];
-    if (connection === undefined) return undefined;
+  #create(nowMillis: number): TargetConnection {
+    this.#open++;
+    const connection: TargetConnection = new TargetConnection(this.#address, {
+      onClosed: () => this.#remove(connection),
+      onConnected: () => this.#onConnected(performance.now() - nowMillis),
+    });
+    return connection;
+  }
+
+  /**
+   * Takes the most recently used idle connection that may carry the request, unless it
+   * was idle for too long.
+   */
+  #takeIdle(
+    requestId: string,
+    nowMillis: number,
+  ): TargetConnection | undefined {
+    const index = this.#idle.findLastIndex((idle) =>
+      !idle.isAmbiguousFor(requestId)
+    );
+    if (index < 0) return undefined;
+    const connection = this.#idle[index];
     const idleMillis = nowMillis - connection.lastUsedAtMillis;
     if (
       nowMillis < this.#idleLimitEndsAtMillis &&
       idleMillis > this.#idleLimitMillis
     ) {
-      // The others have been idle even longer.
-      this.closeIdle();
+      // Those before it have been idle even longer.
+      for (const idle of this.#idle.slice(0, index + 1)) this.discard(idle);
       return undefined;
     }
-    this.#idle.pop();
+    this.#idle.splice(index, 1);
     connection.idleBeforeMillis = idleMillis;
     return connection;
   }
