Use new connections for unrepeatable requests after an answer too many

Where a target sends its refusals again with the next request, that request got a 502 if it must not be repeated: the copy names another request, so the outcome of the one under way is unknown. With each refusal another request was lost so.

Cause: connections are reused although the target has shown that answers too many come on them.

For 10 s after such an answer, requests that must not be repeated go to that target on new connections. Others are retried, so they keep reusing connections.

--- a/packages/gateway/features/copied_answer_steps.ts
+++ b/packages/gateway/features/copied_answer_steps.ts
@@ -14,7 +14,7 @@
 
 /** Pause before a refused request is sent again; longer than a target's after a refusal. */
 const RETRY_PAUSE_MILLIS = 150;
-const MOMENTS = "(before .*|in pieces .*|half .*|right .*|40 ms .*)";
+const MOMENTS = "(before .*|with .*|in pieces .*|half .*|right .*|40 ms .*)";
 
 /** Status of the last answer to each request, by its id. */
 const lastStatuses = new Map<string, number>();
@@ -56,7 +56,7 @@
           headers: { "test-request": id },
         });
         lastStatuses.set(id, reply.status);
-        if (reply.status === 200) break;
+        if (reply.status !== 503) break;
         await pause(RETRY_PAUSE_MILLIS);
       }
     }
@@ -83,6 +83,11 @@
   );
 });
 
+Then("at most {int} of these requests failed", (max: number) => {
+  const failed = [...lastStatuses].filter(([, status]) => status !== 200);
+  assert.ok(failed.length <= max, `failed: ${failed.join(" ")}`);
+});
+
 Then("none ran twice, or ran and was refused", () => {
   for (const [id, count] of runs) {
     assert.ok(count <= 1, `${id} ran ${count} times`);
--- a/packages/gateway/features/copied_answers.feature
+++ b/packages/gateway/features/copied_answers.feature
@@ -37,6 +37,13 @@
     Then each of these requests was served
     And "t1" accepted at most 2 connections
 
+  Scenario: Copies that come with other requests leave few outcomes unknown
+    Given a target "t1" that refuses each request once with 503, and then sends a copy with the next request
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x" until it is served, 12 requests with 3 tries each
+    Then at most 1 of these requests failed
+    And none ran twice, or ran and was refused
+
   Scenario: A request without an id is sent on a new connection
     Given a target "t1" that answers
     And an entry "e1"
--- a/packages/gateway/features/support/copying_target.ts
+++ b/packages/gateway/features/support/copying_target.ts
@@ -12,6 +12,7 @@
 /** When a copy is sent. */
 export type CopyMoment =
   | "before the next answer"
+  | "with the next request"
   | "in pieces before the next answer"
   | "before the next request's body was read"
   | "half behind the refusal, half later"
@@ -38,21 +39,29 @@
 ): Promise<void> {
   const { status, moment, headers } = options;
   const refusals = new Map<string, Refusal>();
+  /** Refusals that are sent again with the next request, by connection. */
+  const pendingCopies = new Map<number, string>();
   return world.system.addTarget(id, async (received, socket) => {
     const requestId = received.headers["test-request"];
     const refusal = refusals.get(requestId);
+    const { connection } = received;
+    socket.write(pendingCopies.get(connection) ?? "");
+    pendingCopies.delete(connection);
     if (refusal === undefined) {
       const text = formatResponse(status, {
         "Test-Request": requestId,
         "Test-Not-Run": "1",
         ...headers,
       }, "refused");
-      refusals.set(requestId, { text, connection: received.connection });
+      refusals.set(requestId, { text, connection });
+      if (moment === "with the next request") {
+        pendingCopies.set(connection, text);
+      }
       await sendRefusal(text, { moment, socket });
       return;
     }
     runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
-    if (refusal.connection === received.connection) {
+    if (refusal.connection === connection) {
       await sendCopy(refusal.text, { moment, socket });
     }
     await pause(WORK_MILLIS);
@@ -78,6 +87,7 @@
       socket.write(text);
       return;
     case "before the next answer":
+    case "with the next request":
     case "in pieces before the next answer":
     case "before the next request's body was read":
       socket.write(text);
@@ -103,6 +113,7 @@
     case "half behind the refusal, half later":
       socket.write(text.slice(text.length / 2));
       return;
+    case "with the next request":
     case "right behind the refusal":
     case "40 ms behind the refusal":
   }
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -5,7 +5,10 @@
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { choosePeer } from "@bamboolane/steering/choose_peer";
-import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import {
+  type EntryRecord,
+  RepeatPolicy,
+} from "@bamboolane/steering/steering_config";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -75,7 +78,10 @@
     const nowMillis = performance.now();
     const remainingMillis = request.expiresAtMillis - nowMillis;
     const connections = this.#connectionsTo(peer.peerAddress);
-    const connection = connections.acquire(request.id, nowMillis);
+    const connection = connections.acquire({
+      id: request.id,
+      isRepeatable: request.route.repeat === RepeatPolicy.idempotent,
+    }, nowMillis);
     this.#adjust(peer.id, 1);
     log.info("forward", {
       request: request.id,
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -331,7 +331,10 @@
     request.arrivals++;
     request.possibleRuns++;
     const connections = this.#connectionsTo(target);
-    const connection = connections.acquire(request.id, nowMillis);
+    const connection = connections.acquire({
+      id: request.id,
+      isRepeatable: request.route.repeat === RepeatPolicy.idempotent,
+    }, nowMillis);
     log.info("send", {
       request: request.id,
       target: record.id,
@@ -383,6 +386,9 @@
         if (end.kind === "lost" && CONNECTION_CLOSED_CODES.has(end.reason)) {
           connections.recordStaleConnection(connection, endMillis);
         }
+        if (end.kind === "lost" && end.namedRequest !== undefined) {
+          connections.recordSurplusAnswer(endMillis);
+        }
         finishAttempt(isAnswerComplete && !end.closesConnection);
         this.#attemptRecorder.recordAttempt(request, {
           target,
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -29,6 +29,11 @@
  * proved dead: a few idle timeouts.
  */
 const REDUCED_IDLE_PERIOD_MILLIS = 10_000;
+/**
+ * How long after an answer too many a target gets requests that must not be repeated on
+ * new connections only: a copy in place of the answer would leave their outcome unknown.
+ */
+const SURPLUS_PERIOD_MILLIS = 10_000;
 /** Requests after which a connection is closed; bounds the memory for their ids. */
 const MAX_REQUESTS_PER_CONNECTION = 256;
 /** Timeout of the check whether a target's port is closed. */
@@ -249,6 +254,7 @@
   /** Maximum idle time of a reused connection, until `#idleLimitEndsAtMillis`. */
   #idleLimitMillis = Infinity;
   #idleLimitEndsAtMillis = -Infinity;
+  #surplusEndsAtMillis = -Infinity;
 
   constructor(
     address: string,
@@ -266,13 +272,23 @@
    * Returns a connection for a request: an idle one, or a new one that connects with
    * its first request.
    */
-  acquire(requestId: string, nowMillis: number): TargetConnection {
-    const connection = this.#takeIdle(requestId, nowMillis) ??
-      this.#create(nowMillis);
-    connection.carry(requestId);
+  acquire(
+    request: { id: string; isRepeatable: boolean },
+    nowMillis: number,
+  ): TargetConnection {
+    const mayReuse = request.isRepeatable ||
+      nowMillis >= this.#surplusEndsAtMillis;
+    const idle = mayReuse ? this.#takeIdle(request.id, nowMillis) : undefined;
+    const connection = idle ?? this.#create(nowMillis);
+    connection.carry(request.id);
     return connection;
   }
 
+  /** Records that the target sent an answer that belongs to no request under way. */
+  recordSurplusAnswer(nowMillis: number): void {
+    this.#surplusEndsAtMillis = nowMillis + SURPLUS_PERIOD_MILLIS;
+  }
+
   /** Records that a reused connection proved dead: other idle ones may be dead too. */
   recordStaleConnection(connection: TargetConnection, nowMillis: number): void {
     if (connection.idleBeforeMillis === 0) return;
