Take only an entry's own word for its promise

A request that must not be repeated ran, and its caller got a 503 with a promise, if the request was forwarded to another entry and the target's answer bore the header bamboolane-result: refused. The second entry passed the header on, and the first one took it for the second one's refusal.

The header is taken out of every answer that an entry passes on.

Before, forwarded_answers.feature, "A target's answer that looks like an entry's refusal is no promise": "reached twice: again0,again0,again0,..." (9 runs of each of 3 requests, each refused with 503). After: each runs once and is served.

A second scenario sends copies of an entry's refusals. It passes; it fails ("again0 ran 2 times") if connections carry the same id twice.

--- /dev/null
+++ b/packages/gateway/features/forwarded_answers.feature
@@ -0,0 +1,24 @@
+Feature: Answers to forwarded requests
+  An entry that reaches no target forwards its requests to another one. What that one
+  says of a request is a promise only if the entry itself says it, of this attempt.
+
+  Background:
+    Given a store with a route of each kind
+
+  Scenario: A target's answer that looks like an entry's refusal is no promise
+    Given a target "t1" that answers like an entry that refuses
+    And an entry "e2"
+    And an entry "e1" without links to "t1"
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x" until it is served, 3 requests with 9 tries each
+    Then each of them reached "t1" once
+    And each of these requests was served
+
+  Scenario: A copy of an entry's refusal is not taken for its answer when the request comes back
+    Given a target "t1" that answers
+    And an entry "e1" without links to "t1"
+    And a stand-in for an entry "e2" that refuses each request once, and then sends a copy before the next answer
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x" until it is served, 6 requests with 9 tries each
+    Then each of these requests was served
+    And none ran twice, or ran and was refused
--- a/packages/gateway/features/support/copying_target.ts
+++ b/packages/gateway/features/support/copying_target.ts
@@ -2,7 +2,10 @@
  * Targets that refuse each request once and send copies of their refusals.
  */
 import type { Socket } from "node:net";
-import { formatResponse } from "@bamboolane/standins/scripted_target";
+import {
+  formatResponse,
+  type Script,
+} from "@bamboolane/standins/scripted_target";
 import { pause, world } from "./scenario.ts";
 import { answerValidly } from "./target_answers.ts";
 
@@ -27,18 +30,28 @@
   connection: number;
 }
 
+/** What is refused, and how. */
+export interface CopyingOptions {
+  status: number;
+  moment: CopyMoment;
+  headers?: Record<string, string>;
+}
+
 /** Adds a target that sends its refusals again. */
 export function addCopyingTarget(
   id: string,
-  options: {
-    status: number;
-    moment: CopyMoment;
-    headers?: Record<string, string>;
-  },
+  options: CopyingOptions,
 ): Promise<void> {
+  return world.system.addTarget(id, createCopyingScript(options), {
+    respondOnHead: options.moment === "before the next request's body was read",
+  });
+}
+
+/** Script that refuses each request once, and sends the refusal again. */
+export function createCopyingScript(options: CopyingOptions): Script {
   const { status, moment, headers } = options;
   const refusals = new Map<string, Refusal>();
-  return world.system.addTarget(id, async (received, socket) => {
+  return async (received, socket) => {
     const requestId = received.headers["test-request"];
     const refusal = refusals.get(requestId);
     if (refusal === undefined) {
@@ -57,7 +70,7 @@
     }
     await pause(WORK_MILLIS);
     answerValidly(received, socket);
-  }, { respondOnHead: moment === "before the next request's body was read" });
+  };
 }
 
 async function sendRefusal(
--- a/packages/gateway/features/support/faulty_targets.ts
+++ b/packages/gateway/features/support/faulty_targets.ts
@@ -2,6 +2,7 @@
  * Scripts of targets whose answers come late, twice, without end, or broken off.
  */
 import type { Socket } from "node:net";
+import { RESULT_HEADER } from "@bamboolane/gateway/forwarding_headers";
 import {
   formatResponse,
   type ReceivedRequest,
@@ -108,6 +109,14 @@
     answerWithLateCopies(() =>
       formatResponse(503, { "Test-Not-Run": "1" }, "")
     ),
+  "answers like an entry that refuses": (received, socket) => {
+    const headers = { ...signedHeaders(received), [RESULT_HEADER]: "refused" };
+    socket.write(formatResponse(200, headers, bodyOf(received)));
+  },
+  "answers without an id and closes": (received, socket) => {
+    const headers = { "Test-Signature": "valid", "Connection": "close" };
+    socket.end(formatResponse(200, headers, bodyOf(received)));
+  },
   "sends a late copy of each answer before the next answer":
     answerWithLateCopies((received) =>
       formatResponse(200, signedHeaders(received), bodyOf(received))
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -237,6 +237,8 @@
         dialect.loadHeader,
         dialect.limitHeader,
         dialect.leavingHeader,
+        // Only an entry itself says this; another entry takes it for a promise.
+        RESULT_HEADER,
       ]),
     );
   }
