Name the request in every answer between entries

Callers got a 502 for a request that had run and was answered, if it was forwarded on a connection to another entry that was used before, and the target's answer, on a fresh connection, bore no id. The first entry can't tell such an answer from a copy.

The entry that talks to the target knows to which request the answer belongs, so it adds the id where the target left it out.

--- a/packages/gateway/features/forwarded_answers.feature
+++ b/packages/gateway/features/forwarded_answers.feature
@@ -14,6 +14,15 @@
     Then each of them reached "t1" once
     And each of these requests was served
 
+  Scenario: A target's answer without an id is taken for the answer of the entry that forwards it
+    Given a target "t1" that answers without an id and closes
+    And an entry "e2"
+    And an entry "e1" without links to "t1"
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x" until it is served, 3 requests with 9 tries each
+    Then each of these requests was served
+    And each of them reached "t1" once
+
   Scenario: A copy of an entry's refusal is not taken for its answer when the request comes back
     Given a target "t1" that answers
     And an entry "e1" without links to "t1"
--- a/packages/gateway/src/answer_caller.ts
+++ b/packages/gateway/src/answer_caller.ts
@@ -49,6 +49,8 @@
   beforeHead: () => void;
   /** Further headers of answers of the gateway itself. */
   ownHeaders: (kind: LocalAnswer["kind"]) => Record<string, string>;
+  /** Name and value of a header that is added to targets' answers without it, if any. */
+  requiredHeader: readonly [string, string] | undefined;
 }
 
 /** Answer sink of one HTTP response. */
@@ -63,7 +65,7 @@
 
   answer(answer: TargetAnswer): void {
     this.#options.beforeHead();
-    const headers = [...answer.headers];
+    const headers = this.#complete(answer.headers);
     if (answer.status !== 204 && answer.status !== 304) {
       headers.push("Content-Length", String(answer.body.byteLength));
     }
@@ -73,7 +75,7 @@
 
   start(status: number, headers: string[]): void {
     this.#options.beforeHead();
-    this.#response.writeHead(status, headers);
+    this.#response.writeHead(status, this.#complete(headers));
   }
 
   write(chunk: Buffer): boolean {
@@ -113,4 +115,13 @@
         : undefined,
     });
   }
+
+  #complete(headers: readonly string[]): string[] {
+    const { requiredHeader } = this.#options;
+    const isPresent = requiredHeader === undefined ||
+      headers.some((text, i) =>
+        i % 2 === 0 && text.toLowerCase() === requiredHeader[0]
+      );
+    return isPresent ? [...headers] : [...headers, ...requiredHeader];
+  }
 }
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -347,6 +347,10 @@
       sink: new CallerSink(response, {
         beforeHead: () => this.#announceClose(request, response),
         ownHeaders: (kind) => this.#ownHeaders(request, kind),
+        // The other entry recognises the answer by its id.
+        requiredHeader: this.#servesEntries && head.id !== ""
+          ? [dialect.requestIdHeader, head.id]
+          : undefined,
       }),
       isForwarded: this.#servesEntries,
       triedTargets: new Set(),
