Don't reject malformed bytes in place of an answer that is due

Callers of `bamboolane entry` got "400 bad-request, outcome not-run" for a charge that a target was running, if malformed bytes followed the request, or stood in a body so long that it is sent on while it is read. The rejection was written at once, so it came where the charge's answer was due.

While an answer is due on a connection, malformed bytes now close it, which promises nothing. The answer is available under the request's key. The gateway already lets the answers that are due go out first.

Before, failures.feature, both examples of "A charge that was sent to a target is not answered as not run": "HTTP/1.1 400 bad-request ... bamboolane-outcome: not-run". After: both pass.

--- a/packages/entry/features/failure_steps.ts
+++ b/packages/entry/features/failure_steps.ts
@@ -2,6 +2,7 @@
  * Steps that provoke failures and check the system's behaviour.
  */
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { findOwner } from "@bamboolane/locate/rank_entries";
 import type { SteeringError } from "@bamboolane/errors/steering_error";
@@ -571,3 +572,48 @@
   assert.notEqual(batch[0].code, 0);
   assert.equal(batch[0].outcome, "unknown", batch[0].text);
 });
+
+let rawAnswers = "";
+
+/** Sends bytes on a connection of their own; resolves with all answers once it is closed. */
+function exchangeBytes(address: string, parts: string[]): Promise<string> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    let answers = "";
+    const socket = connect(Number(port), host, async () => {
+      for (const part of parts) {
+        socket.write(part);
+        await new Promise((sent) => setTimeout(sent, 100));
+      }
+      socket.end();
+    });
+    socket.on("data", (chunk) => answers += chunk.toString("latin1"));
+    socket.on("error", () => {});
+    socket.once("close", () => resolve(answers));
+  });
+}
+
+When(
+  /^a charge is sent to "(.+)" whose connection carries (malformed bytes behind the request|a malformed chunk in a long body)$/,
+  async (id: string, bytes: string) => {
+    for (const target of scenario.system.targets.values()) {
+      target.behaviour.serviceMillis = [{ prefix: "/", millis: 300 }];
+    }
+    const ticket = await fetchTicket(callerAddress(id));
+    const head = "POST /v1/run/m1/s1/charge HTTP/1.1\r\nHost: e\r\n" +
+      `Idempotency-Key: ${ticket}\r\nBamboolane-Client: 10.1.0.1\r\n`;
+    const chunk = "x".repeat(100_000);
+    const parts = bytes.startsWith("malformed")
+      ? [`${head}Content-Length: 1\r\n\r\nx`, "\x16\x03\x01 no request\r\n\r\n"]
+      : [
+        `${head}Transfer-Encoding: chunked\r\n\r\n` +
+        `${chunk.length.toString(16)}\r\n${chunk}\r\n`,
+        "no length\r\n",
+      ];
+    rawAnswers = await exchangeBytes(callerAddress(id), parts);
+  },
+);
+
+Then("the connection's answers don't say that it did not run", () => {
+  assert.doesNotMatch(rawAnswers, /bamboolane-outcome: not-run/i);
+});
--- a/packages/entry/features/failures.feature
+++ b/packages/entry/features/failures.feature
@@ -115,3 +115,12 @@
     Given all targets crash on path "poison"
     When a request "poison" is sent to "e4"
     Then it is refused with an unknown outcome
+
+  Scenario Outline: A charge that was sent to a target is not answered as not run when <bytes> follow
+    When a charge is sent to "e1" whose connection carries <bytes>
+    Then the connection's answers don't say that it did not run
+
+    Examples:
+      | bytes                               |
+      | malformed bytes behind the request  |
+      | a malformed chunk in a long body    |
--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -74,6 +74,8 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  /** Number of answers under way, by connection. */
+  readonly #unanswered = new WeakMap<Socket, number>();
   #inFlight = 0;
   #stopping = false;
   #onIdle: (() => void) | undefined;
@@ -90,7 +92,7 @@
     this.#server.maxConnections = limits.connections;
     this.#server.on(
       "clientError",
-      (error, socket) => rejectMalformed(error, socket as Socket),
+      (error, socket) => this.#rejectMalformed(error, socket as Socket),
     );
   }
 
@@ -124,6 +126,7 @@
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     const url = request.url ?? "/";
+    this.#trackAnswer(request.socket, response);
     if (this.#stopping) response.setHeader("connection", "close");
     try {
       if (url.startsWith("/v1/lookup?")) {
@@ -149,6 +152,29 @@
     }
   }
 
+  #trackAnswer(socket: Socket, response: ServerResponse): void {
+    const adjust = (change: number) =>
+      this.#unanswered.set(
+        socket,
+        (this.#unanswered.get(socket) ?? 0) + change,
+      );
+    adjust(1);
+    response.once("close", () => adjust(-1));
+  }
+
+  /**
+   * Answers a request that the HTTP parser rejected. Behind a request that may have
+   * been sent to a target, its caller would read the rejection as the answer to that
+   * one: the connection is closed instead.
+   */
+  #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    if ((this.#unanswered.get(socket) ?? 0) === 0) {
+      return rejectMalformed(error, socket);
+    }
+    this.#options.context.log.info("malformed", { error: error.code });
+    socket.destroy();
+  }
+
   #answerHealth(response: ServerResponse): void {
     const state = this.#options.isLeaving() ? "leaving" : "serving";
     writeJson(response, 200, { state });
