Prove "not run" by a failed connect, not by an error's code

`bamboolane entry` answered 503 connect-failed, outcome not-run, and sent a charge to the next target, if an open connection on which the charge was written failed with ETIMEDOUT, EHOSTUNREACH or ENETUNREACH. The system reports these for open connections too, when a peer acknowledges nothing any more.

Only errors of the connect itself now count.

Before, target_client.feature, "A connection that times out after the request was written doesn't prove that it did not run": outcome 'not-run', expected 'unknown'. After: it passes.

--- a/packages/entry/features/target_client.feature
+++ b/packages/entry/features/target_client.feature
@@ -29,3 +29,8 @@
     Given a target that sends half an answer without a length and resets
     When a request is sent to it
     Then reading the answer failed
+
+  Scenario: A connection that times out after the request was written doesn't prove that it did not run
+    Given a target of which nothing arrives
+    When a request is sent to it, and its connection times out before the answer
+    Then its outcome is unknown
--- a/packages/entry/features/target_client_steps.ts
+++ b/packages/entry/features/target_client_steps.ts
@@ -2,6 +2,7 @@
  * Steps that send single attempts to a scripted target.
  */
 import assert from "node:assert/strict";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { newAttemptRecord, type Work } from "@bamboolane/entry/answer";
@@ -67,6 +68,8 @@
   },
 );
 
+Given("a target of which nothing arrives", () => startTarget(() => {}));
+
 async function sendEndlessly(socket: Socket): Promise<void> {
   const chunk = "x".repeat(65_536);
   socket.write(
@@ -158,6 +161,30 @@
 
 When("a request is sent to it", () => send(0));
 
+When(
+  "a request is sent to it, and its connection times out before the answer",
+  async () => {
+    const timeOut = (message: unknown) => {
+      const { socket } = message as { socket: Socket };
+      // As the system reports a peer that acknowledges nothing any more.
+      const error = Object.assign(new Error("read ETIMEDOUT"), {
+        code: "ETIMEDOUT",
+        syscall: "read",
+      });
+      setImmediate(() => socket.destroy(error));
+    };
+    subscribe("undici:client:sendHeaders", timeOut);
+    await send(0);
+    unsubscribe("undici:client:sendHeaders", timeOut);
+  },
+);
+
+Then("its outcome is unknown", () => {
+  const [first] = results;
+  assert.ok(first instanceof SteeringError, "it has an answer");
+  assert.equal(first.outcome, Outcome.unknown);
+});
+
 Then("the outcome of the second one is unknown", () => {
   const second = results[1];
   assert.ok(second instanceof SteeringError, "it has no answer");
--- a/packages/entry/src/target_client.ts
+++ b/packages/entry/src/target_client.ts
@@ -78,19 +78,17 @@
 /** Statuses of answers that never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
-const CONNECT_ERROR_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ETIMEDOUT",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
+/** True if no connection could be made, so that nothing was sent. */
+function isConnectError(error: NodeJS.ErrnoException): boolean {
+  // The system reports some codes, such as ETIMEDOUT, for open connections too.
+  return error.code === "UND_ERR_CONNECT_TIMEOUT" ||
+    error.syscall === "connect";
+}
 
 function classifyError(error: unknown, signal: CancelSignal): ResultCodeInfo {
-  const code = (error as { code?: string }).code ?? "";
   // The attempt runner replaces this if the deadline caused the abort.
   if (signal.aborted) return ResultCode.callerCancelled;
-  return CONNECT_ERROR_CODES.has(code)
+  return isConnectError(error as NodeJS.ErrnoException)
     ? ResultCode.connectFailed
     : ResultCode.targetLost;
 }
