Check what answers at another entry's state address

An entry ended by itself (uncaught_error, "Cannot read properties of undefined (reading 'length')") if the address from which it fetched another entry's state answered JSON that is no state, whatever the status. Something else may listen there once an entry has ended.

The status and the form of the answer are checked now; anything else is a failed fetch (borrow_failed), as a broken connection was before.

Before, gateway.feature, the 3 examples of "An entry whose seed's address answers ... to others fetches its state from another seed": "TypeError: Cannot read properties of undefined (reading 'length')" (404 and 200), "(reading '0')" (503). After: all pass.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -271,6 +271,20 @@
     And an entry "e2" that can't reach the store, with "e1" as seed
     Then "e2" answers 200 to "/read/x" within 3 s
 
+  Scenario Outline: An entry whose seed's address answers <status> to others fetches its state from another seed
+    Given a target "t1" that answers
+    And an entry "e1"
+    And a peer that answers <status> with '<body>'
+    And an entry "e2" that can't reach the store, with "e1" and that peer as seeds
+    Then "e2" answers 200 to "/read/x" within 3 s
+    And the log names the address from which nothing could be borrowed
+
+    Examples:
+      | status | body                   |
+      | 404    | {}                     |
+      | 503    | {"rows":[],"whole":1}  |
+      | 200    | {"state":"serving"}    |
+
   Scenario: A restarted entry doesn't take back a target that left, or an evacuation that ended, from a peer that is behind
     Given a target "t1" that answers
     And a target "t2" that answers
--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -238,23 +238,46 @@
   peerBehind = undefined;
 });
 
+async function startPeer(
+  answer: { status: number; body: string; delayMillis: number },
+): Promise<void> {
+  const server = createServer(async (_request, response) => {
+    await pause(answer.delayMillis);
+    response.writeHead(answer.status).end(answer.body);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  peerBehind = {
+    address: `127.0.0.1:${port}`,
+    close: () => server.close(),
+  };
+}
+
 Given(
   "a peer that still has the state of {string} and sends it after {int} ms",
-  async (entry: string, millis: number) => {
+  (entry: string, delayMillis: number) => {
     const delta = gatewayOf(entry).state.latestRows.changesSince([0, 0]);
-    const body = JSON.stringify(delta);
-    const server = createServer(async (_request, response) => {
-      await pause(millis);
-      response.end(body);
-    });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
+    return startPeer({ status: 200, body: JSON.stringify(delta), delayMillis });
+  },
+);
+
+Given(
+  /^a peer that answers (\d+) with '(.*)'$/,
+  (status: string, body: string) =>
+    startPeer({ status: Number(status), body, delayMillis: 0 }),
+);
+
+Then(
+  "the log names the address from which nothing could be borrowed",
+  () => {
+    const address = peerBehind?.address ?? "";
+    return untilWithin(
+      () =>
+        world.system.logText.split("\n").some((line) =>
+          line.includes("borrow_failed") && line.includes(address)
+        ),
+      { seconds: 2, description: `borrow_failed names ${address}` },
     );
-    const { port } = server.address() as { port: number };
-    peerBehind = {
-      address: `127.0.0.1:${port}`,
-      close: () => server.close(),
-    };
   },
 );
 
--- a/packages/gateway/src/fetch_peer_state.ts
+++ b/packages/gateway/src/fetch_peer_state.ts
@@ -28,7 +28,14 @@
     const response = await request(`http://${address}${STATE_PATH}?${query}`, {
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLIS),
     });
-    const delta = await response.body.json() as RowDelta;
+    const { statusCode } = response;
+    if (statusCode !== 200) {
+      await response.body.dump();
+      throw new Error(`status ${statusCode}`);
+    }
+    const delta = await response.body.json();
+    // Something else may listen at the address of an entry that has ended.
+    if (!isRowDelta(delta)) throw new Error("not the state of an entry");
     // Entries of an older build send no `completeTo`.
     return { ...delta, completeTo: delta.completeTo ?? delta.versions };
   } catch (error) {
@@ -39,3 +46,19 @@
     return undefined;
   }
 }
+
+function isRowDelta(value: unknown): value is RowDelta {
+  const { rows, versions, completeTo = versions } = (value ?? {}) as Partial<
+    RowDelta
+  >;
+  return Array.isArray(rows) && isRowVersions(versions) &&
+    isRowVersions(completeTo) &&
+    rows.every((row) =>
+      typeof row?.kind === "string" && Number.isFinite(row.version)
+    );
+}
+
+function isRowVersions(value: unknown): value is RowVersions {
+  return Array.isArray(value) && value.length === 2 &&
+    value.every(Number.isFinite);
+}
