Take an answer for an attempt's only if nothing else can be its source

Callers of `bamboolane entry` got "not run" for a charge that ran, or the answer to another request, if a target sent an earlier answer again: where it doesn't repeat bamboolane-attempt, where the request came back with the same attempt (the count starts again where another entry forwards the request once more), or where the earlier answer was one to a health check, which shared the connections.

Cause: an answer without the header was taken for the attempt's on any connection, and the header's value was not unique on a connection.

An answer now counts if it names the attempt, numbered by the connection pool, or if it is the first one on its connection. After one that names none, each request gets a connection of its own for 60 s, longer than any idle connection is kept. Health checks always do. The stand-in for targets repeats the header, as docs/CALLERS.md asks, and can be told not to.

--- a/packages/entry/features/failure_steps.ts
+++ b/packages/entry/features/failure_steps.ts
@@ -73,6 +73,12 @@
   );
 });
 
+Given("all targets name no attempts", () => {
+  for (const target of scenario.system.targets.values()) {
+    target.behaviour.hidesAttempts = true;
+  }
+});
+
 Given("target {string} cuts its answers short", (id: string) => {
   scenario.system.target(id).behaviour.cutAnswers = true;
 });
--- a/packages/entry/features/failures.feature
+++ b/packages/entry/features/failures.feature
@@ -20,6 +20,11 @@
     When 5 charges are sent to "e1"
     Then each is answered completely or refused as "answer-cut", and ran at most once
 
+  Scenario: Targets that name no attempts in their answers serve charges too
+    Given all targets name no attempts
+    When 20 charges are sent to "e1"
+    Then all are answered completely
+
   Scenario: A target that signals draining gets no new requests
     When target "a1-t1" signals that it is draining
     And 20 requests are sent to "e1"
--- a/packages/entry/features/target_client.feature
+++ b/packages/entry/features/target_client.feature
@@ -14,6 +14,36 @@
       | answer  |
       | refusal |
 
+  Scenario Outline: A late copy of an earlier <kind> that names no attempt is not taken for the next answer
+    Given a target that names no attempts, whose <kind> is followed by a late copy before the next answer
+    When two requests are sent to it one after another
+    Then the second one got its own answer
+
+    Examples:
+      | kind    |
+      | answer  |
+      | refusal |
+
+  Scenario: A late copy of a refusal is not taken for the answer to the same request when it comes back
+    Given a target whose refusal is followed by a late copy before the next answer
+    When a request is sent to it twice
+    Then the outcome of the second one is unknown
+
+  Scenario: A copy that names no attempt proves nothing on a connection of a target that names them
+    Given a target that names the attempt, and then sends a refusal that names none before the next answer
+    When two requests are sent to it one after another
+    Then the outcome of the second one is unknown
+
+  Scenario: A late copy of a health answer is not taken for the answer to a request
+    Given a target whose health answer is followed by a late copy before the next answer
+    When its health is checked, and then a request is sent to it
+    Then the request got its own answer
+
+  Scenario: A target that names attempts gets all requests on one connection
+    Given a target that names attempts
+    When two requests are sent to it one after another
+    Then both requests reached the target on one connection
+
   Scenario: A refusal without end is not read to its end
     Given a target that sends a refusal without end
     When a request is sent to it
--- a/packages/entry/features/target_client_steps.ts
+++ b/packages/entry/features/target_client_steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from "node:assert/strict";
 import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { newAttemptRecord, type Work } from "@bamboolane/entry/answer";
@@ -30,6 +31,8 @@
 let endlessBytes = 0;
 /** Why the last answer could not be read to its end. */
 let readError: Error | undefined;
+/** Body of the last answer. */
+let lastBody = "";
 
 After(async () => {
   client?.close();
@@ -68,8 +71,50 @@
   },
 );
 
+Given(
+  /^a target that names no attempts, whose (answer|refusal) is followed by a late copy before the next answer$/,
+  (kind: string) => {
+    const first = kind === "refusal"
+      ? formatResponse(503, { "X-Refused": "1" }, "")
+      : formatResponse(200, {}, "/0");
+    return startTarget((received, socket) => {
+      if (received.path === "/0") return void socket.write(first);
+      if (received.connection === 1) socket.write(first);
+      socket.write(formatResponse(200, {}, received.path));
+    });
+  },
+);
+
+Given(
+  "a target that names the attempt, and then sends a refusal that names none before the next answer",
+  () =>
+    startTarget((received, socket) => {
+      if (received.path !== "/0") {
+        socket.write(formatResponse(503, { "X-Refused": "1" }, ""));
+      }
+      socket.write(formatAnswer("answer", received));
+    }),
+);
+
+Given(
+  "a target whose health answer is followed by a late copy before the next answer",
+  () => {
+    const health = formatResponse(200, {}, '{"state":"serving"}');
+    return startTarget((received, socket) => {
+      if (received.path === "/health") return void socket.write(health);
+      if (received.connection === 1) socket.write(health);
+      socket.write(formatResponse(200, {}, received.path));
+    });
+  },
+);
+
 Given("a target of which nothing arrives", () => startTarget(() => {}));
 
+Given("a target that names attempts", () =>
+  startTarget((received, socket) => {
+    socket.write(formatAnswer("answer", received));
+  }));
+
 async function sendEndlessly(socket: Socket): Promise<void> {
   const chunk = "x".repeat(65_536);
   socket.write(
@@ -140,12 +185,18 @@
   }
 }
 
+/** The pool learns a moment later that a connection is free again. */
+function connectionFreed(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 20));
+}
+
 /** Reads the answer, so that its connection is used again. */
 async function readToEnd(response: TargetResponse): Promise<void> {
   readError = undefined;
+  lastBody = "";
   try {
-    for await (const _chunk of response.body) {
-      // Only the end matters.
+    for await (const chunk of response.body) {
+      lastBody += Buffer.from(chunk).toString("latin1");
     }
   } catch (error) {
     readError = error as Error;
@@ -154,8 +205,19 @@
 
 When("two requests are sent to it one after another", async () => {
   await send(0);
-  // The pool learns a moment later that the connection is free again.
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  await connectionFreed();
+  await send(1);
+});
+
+When("a request is sent to it twice", async () => {
+  await send(0);
+  await connectionFreed();
+  await send(0);
+});
+
+When("its health is checked, and then a request is sent to it", async () => {
+  assert.ok(await client?.probe(1000), "the check failed");
+  await connectionFreed();
   await send(1);
 });
 
@@ -191,6 +253,12 @@
   assert.equal(second.outcome, Outcome.unknown);
 });
 
+Then(/^the (?:second one|request) got its own answer$/, () => {
+  const last = results.at(-1);
+  assert.ok(!(last instanceof SteeringError), String(last));
+  assert.equal(lastBody, "/1");
+});
+
 Then("both requests reached the target on one connection", () => {
   const connections = target?.received.map(({ connection }) => connection);
   assert.deepEqual(connections, [1, 1]);
--- a/packages/entry/src/probed_client.ts
+++ b/packages/entry/src/probed_client.ts
@@ -1,5 +1,6 @@
 /**
- * HTTP client of one connection that distinguishes a clean close from a reset. When
+ * HTTP client of one connection that counts the answers on it, and distinguishes a
+ * clean close from a reset. When
  * a reset arrives together with the last bytes, Node reports a plain end; a write
  * then fails at once, while it still succeeds after a clean close. HTTP servers
  * ignore the empty line that is written.
@@ -18,15 +19,22 @@
   clean: Promise<boolean>;
 }
 
+/** State of the current connection. */
+interface ConnectionState {
+  closing: Closing | undefined;
+  /** Answers whose head was received. */
+  answers: number;
+}
+
 /** Client of one connection. */
 export class ProbedClient extends Client {
-  readonly #connection: { closing: Closing | undefined };
+  readonly #connection: ConnectionState;
 
   constructor(
     origin: string | URL,
     options: Client.Options & { connectTimeout?: number },
   ) {
-    const connection: { closing: Closing | undefined } = { closing: undefined };
+    const connection: ConnectionState = { closing: undefined, answers: 0 };
     const connect = buildConnector({ timeout: options.connectTimeout });
     super(origin, {
       ...options,
@@ -34,6 +42,7 @@
         connect(target, (error, socket) => {
           if (error) return done(error, null);
           connection.closing = { clean: watchClose(socket) };
+          connection.answers = 0;
           done(null, socket);
         }),
     });
@@ -48,6 +57,11 @@
     return super.dispatch(options, handler);
   }
 
+  /** Counts an answer; returns the number of answers on the connection, with this one. */
+  countAnswer(): number {
+    return ++this.#connection.answers;
+  }
+
   /** Resolves once the connection is closed: to true unless it was reset. */
   closedCleanly(): Promise<boolean> {
     return this.#connection.closing?.clean ?? Promise.resolve(false);
--- a/packages/entry/src/target_client.ts
+++ b/packages/entry/src/target_client.ts
@@ -1,6 +1,10 @@
 /**
  * Sends attempts to one target over HTTP and classifies how they ended; also
  * checks the target's health.
+ *
+ * A target may send an earlier answer again. An answer belongs to an attempt if it
+ * names it, or if nothing else was answered on its connection. So connections are
+ * reused only while the target names the attempts in its answers.
  */
 import { connect } from "node:net";
 import { type Dispatcher, Pool } from "undici";
@@ -47,6 +51,16 @@
  * that this is no late copy of an earlier answer on the same connection.
  */
 export const ATTEMPT_HEADER = "bamboolane-attempt";
+/**
+ * After an answer that names no attempt, each request gets a connection of its own for
+ * this long.
+ */
+const UNNAMED_ANSWER_PERIOD_MILLIS = 60_000;
+/**
+ * Idle timeout of connections. Shorter than the period above, so that no connection
+ * from before it is used after it.
+ */
+const MAX_IDLE_MILLIS = 30_000;
 /** Size up to which a refusal's body is read, so that its connection can be reused. */
 const MAX_REFUSAL_BYTES = 16_384;
 /** Headers that apply to a single connection and are never passed on. */
@@ -143,21 +157,19 @@
 /** HTTP client with a connection pool for one target. */
 export class TargetClient {
   readonly #address: string;
+  /** Connections that are reused. */
   readonly #pool: Pool;
+  /** Connections of one request each. */
+  readonly #singleUsePool: Pool;
+  #attempts = 0;
+  /** End of the period in which no connection is reused. */
+  #reuseFromMillis = -Infinity;
 
   constructor(address: string, options: { slots: number }) {
     this.#address = address;
-    this.#pool = new Pool(`http://${address}`, {
-      factory: (origin, clientOptions) =>
-        new ProbedClient(origin, {
-          ...clientOptions,
-          connectTimeout: CONNECT_TIMEOUT_MILLIS,
-        }),
-      connections: options.slots * 2,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    const connections = options.slots * 2;
+    this.#pool = createPool(address, connections);
+    this.#singleUsePool = createPool(address, connections);
   }
 
   get address(): string {
@@ -166,7 +178,8 @@
 
   /** Sends one attempt; rejects with a {@link SteeringError}. */
   async send(work: Work, options: AttemptOptions): Promise<TargetResponse> {
-    const attempt = `${work.info.id}.${work.attempts.dispatches}`;
+    // The request's own count starts again where another entry forwards it again.
+    const attempt = `${work.info.id}.${++this.#attempts}`;
     const headers = work.headers.filter(([name]) => name !== ATTEMPT_HEADER)
       .flatMap(([name, value]) => [name, value]);
     headers.push(
@@ -176,14 +189,17 @@
       String(Math.max(1, Math.floor(options.remainingMillis))),
     );
     const sentBy: SentBy = { client: undefined };
+    const isSingleUse = performance.now() < this.#reuseFromMillis;
+    const pool = isSingleUse ? this.#singleUsePool : this.#pool;
     let response: Dispatcher.ResponseData<SentBy>;
     try {
-      response = await this.#pool.request({
+      response = await pool.request({
         method: work.info.method as Dispatcher.HttpMethod,
         path: work.info.path,
         headers,
         body: toDispatchBody(work.body),
         opaque: sentBy,
+        reset: isSingleUse,
         // undici uses only the listener methods and `aborted`.
         signal: options.signal as AbortSignal,
       });
@@ -195,11 +211,11 @@
       );
     }
     response.body.on("error", () => {});
-    if ((response.headers[ATTEMPT_HEADER] ?? attempt) !== attempt) {
+    if (!this.#answersAttempt(attempt, response)) {
       response.body.destroy();
       throw new SteeringError(
         ResultCode.targetLost,
-        `Target ${this.#address}: answer to another attempt.`,
+        `Target ${this.#address}: the answer may be to another attempt.`,
       );
     }
     const draining = response.headers[options.drainHeader] !== undefined;
@@ -219,14 +235,27 @@
     };
   }
 
+  /** False if the answer may be a copy of an earlier one on its connection. */
+  #answersAttempt(
+    attempt: string,
+    response: Dispatcher.ResponseData<SentBy>,
+  ): boolean {
+    const isFirst = response.opaque.client?.countAnswer() === 1;
+    const named = response.headers[ATTEMPT_HEADER];
+    if (named !== undefined) return named === attempt;
+    this.#reuseFromMillis = performance.now() + UNNAMED_ANSWER_PERIOD_MILLIS;
+    return isFirst;
+  }
+
   /** Runs one health check; undefined if the target does not answer. */
   async probe(
     timeoutMillis: number,
   ): Promise<{ draining: boolean } | undefined> {
     try {
-      const response = await this.#pool.request({
+      const response = await this.#singleUsePool.request({
         method: "GET",
         path: "/health",
+        reset: true,
         signal: AbortSignal.timeout(timeoutMillis),
       });
       const state = await response.body.json() as { state?: string };
@@ -259,9 +288,25 @@
 
   close(): void {
     this.#pool.destroy().catch(() => {});
+    this.#singleUsePool.destroy().catch(() => {});
   }
 }
 
+function createPool(address: string, connections: number): Pool {
+  return new Pool(`http://${address}`, {
+    factory: (origin, clientOptions) =>
+      new ProbedClient(origin, {
+        ...clientOptions,
+        connectTimeout: CONNECT_TIMEOUT_MILLIS,
+      }),
+    connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveMaxTimeout: MAX_IDLE_MILLIS,
+  });
+}
+
 /**
  * A refusal in the form that the service declares as proof that the request did
  * not run.
--- a/standins/src/serve_target.ts
+++ b/standins/src/serve_target.ts
@@ -33,6 +33,8 @@
   frozen: boolean;
   /** Health requests get no response; other requests do. */
   silentHealth: boolean;
+  /** Answers don't repeat the attempt that the request names. */
+  hidesAttempts: boolean;
 }
 
 /** One request that the target completed or began to run. */
@@ -84,8 +86,12 @@
   cutAnswers: false,
   frozen: false,
   silentHealth: false,
+  hidesAttempts: false,
 };
 
+/** Header that names an attempt, which targets should repeat in their answers. */
+const ATTEMPT_HEADER = "bamboolane-attempt";
+
 /** Requests per slot that wait inside the target before it sheds load. */
 const MAX_QUEUED_PER_SLOT = 1;
 /** Further requests run without being recorded. */
@@ -209,6 +215,10 @@
       response.end(JSON.stringify({ inUse: load, slots: behaviour.slots }));
       return;
     }
+    const attempt = request.headers[ATTEMPT_HEADER];
+    if (attempt !== undefined && !behaviour.hidesAttempts) {
+      response.setHeader(ATTEMPT_HEADER, attempt);
+    }
     const body = await readBody(request);
     if (
       behaviour.draining ||
