Keep running after errors of any open listener

An entry that lacked descriptors for a moment ended with code 1: the listeners of the directory, the readiness check, the state and the metrics kept the error handler of their start. It took the first error silently, and the second one was nobody's.

All listeners of the gateway are now opened in one place, which logs errors after the start, as the callers' listener did. The metrics endpoint gets a server of its own, since the exporter's handles no errors after its start.

Before: start.feature fails with "Error: accept EMFILE" at the second emitted error.

--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -54,7 +54,10 @@
 export async function startEntry(options: StartOptions): Promise<RunningEntry> {
   const { settings, log } = options;
   const metrics = options.metrics ??
-    await createMetrics(settings.listen.metrics);
+    await createMetrics(
+      settings.listen.metrics,
+      (error) => log.warn("metrics_failed", { error: error.message }),
+    );
   const components = assembleEntry({ ...options, metrics });
   const {
     context,
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -4,15 +4,18 @@
  */
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { selectEntries } from "@bamboolane/steering/select_entries";
+import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayState } from "./gateway_state.ts";
+import { listen } from "./listen.ts";
 
 /** Path at which other entries read this one's state. */
 export const STATE_PATH = "/v1/state";
 
 /** Options of {@link serveDirectory}. */
 export interface DirectoryOptions {
+  log: EventLog;
   dialect: CallerDialect;
   state: GatewayState;
   /** How long callers may cache an answer. */
@@ -34,16 +37,8 @@
   response.end(body);
 }
 
-function listenOn(server: Server, address: string): Promise<Server> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(port), host, () => resolve(server));
-  });
-}
-
 /** Starts the directory of entries. */
-export function serveDirectory(
+export async function serveDirectory(
   address: string,
   options: DirectoryOptions,
 ): Promise<Server> {
@@ -60,26 +55,28 @@
       dialect.formatEntries(addresses, options.ttlMillis),
     );
   });
-  return listenOn(server, address);
+  await listen(server, address, options);
+  return server;
 }
 
 /** Starts the readiness check. */
-export function serveReadiness(
+export async function serveReadiness(
   address: string,
-  options: Pick<DirectoryOptions, "dialect" | "isReady">,
+  options: Pick<DirectoryOptions, "log" | "dialect" | "isReady">,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const known = request.url === options.dialect.readinessPath;
     const status = !known ? 404 : options.isReady() ? 200 : 503;
     writeJson(response, status, "{}");
   });
-  return listenOn(server, address);
+  await listen(server, address, options);
+  return server;
 }
 
 /** Starts the server from which other entries read this one's state. */
-export function serveState(
+export async function serveState(
   address: string,
-  state: GatewayState,
+  options: Pick<DirectoryOptions, "log" | "state">,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const [path, query] = (request.url ?? "/").split("?", 2);
@@ -90,11 +87,12 @@
       Number(parameters.get("targets") ?? 0),
     ] as const;
     // Entries of an older build send no revision.
-    const delta = state.latestRows.changesSince(
+    const delta = options.state.latestRows.changesSince(
       versions,
       Number(parameters.get("revision") ?? Infinity),
     );
     writeJson(response, 200, JSON.stringify(delta));
   });
-  return listenOn(server, address);
+  await listen(server, address, options);
+  return server;
 }
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -29,6 +29,7 @@
 } from "./forwarding_headers.ts";
 import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
+import { listen } from "./listen.ts";
 import {
   fingerprintOf,
   headerBytes,
@@ -69,6 +70,8 @@
  * ones may arrive as fast as they are accepted.
  */
 const MAX_ACCEPT_MILLIS = 250;
+/** Maximum number of connections that wait to be accepted. */
+const BACKLOG = 1024;
 /** Retry delay of a request for whose body there is no memory; a large body takes long. */
 const NO_MEMORY_RETRY_MILLIS = 1000;
 /** Limits until a configuration is known. */
@@ -111,22 +114,8 @@
   }
 
   listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port: Number(port), backlog: 1024 }, () => {
-        this.#server.off("error", reject);
-        // Accepting a connection may fail, for example for lack of descriptors.
-        this.#server.on(
-          "error",
-          (error) =>
-            this.#options.log.error("accept_connection_failed", {
-              error: error.message,
-            }),
-        );
-        resolve();
-      });
-    });
+    const { log } = this.#options;
+    return listen(this.#server, address, { log, backlog: BACKLOG });
   }
 
   /** Applies the limits of the configuration in force. */
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -149,15 +149,16 @@
   await callers.listen(settings.listen.callers);
   await forwarded.listen(settings.listen.peers);
   const servers: Server[] = await Promise.all([
-    serveReadiness(settings.listen.readiness, { dialect, isReady }),
+    serveReadiness(settings.listen.readiness, { log, dialect, isReady }),
     serveDirectory(settings.listen.directory, {
+      log,
       dialect,
       state,
       ttlMillis: Math.min(MAX_LOOKUP_TTL_MILLIS, settings.lookupTtlMillis),
       isReady,
       liveEntries,
     }),
-    serveState(settings.listen.state, state),
+    serveState(settings.listen.state, { log, state }),
   ]);
   await peers.listen();
   log.info("started", {
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -2,6 +2,7 @@
  * OpenTelemetry instruments of the process. Callers get plain functions, so
  * that decision code does not depend on a metrics library.
  */
+import { createServer, type Server } from "node:http";
 import { MeterProvider } from "@opentelemetry/sdk-metrics";
 import { PrometheusExporter } from "@opentelemetry/exporter-prometheus";
 
@@ -17,6 +18,7 @@
   close(): Promise<void>;
 }
 
+const METRICS_PATH = "/metrics";
 const NO_LABELS: Labels = {};
 /** Maximum number of label sets per counter; further ones are not counted. */
 const MAX_LABEL_SETS = 2000;
@@ -89,15 +91,39 @@
   }
 }
 
-/** Starts the scrape endpoint at `address` and creates the instruments. */
-export async function createMetrics(address: string): Promise<Metrics> {
+/** Serves the metrics at `address`; calls `onError` for errors after the start. */
+function serveMetrics(
+  address: string,
+  options: { exporter: PrometheusExporter; onError: (error: Error) => void },
+): Promise<Server> {
+  const { exporter, onError } = options;
   const [host, port] = address.split(":");
-  const exporter = new PrometheusExporter({
-    host,
-    port: Number(port),
-    preventServerStart: true,
+  const server = createServer((request, response) => {
+    const [path] = (request.url ?? "").split("?", 1);
+    if (path === METRICS_PATH) {
+      return exporter.getMetricsRequestHandler(request, response);
+    }
+    response.writeHead(404).end();
+  }).unref();
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(port), host, () => {
+      server.off("error", reject).on("error", onError);
+      resolve(server);
+    });
   });
-  await exporter.startServer();
+}
+
+/**
+ * Starts the scrape endpoint at `address` and creates the instruments. `onError` is
+ * called for errors of the endpoint after its start.
+ */
+export async function createMetrics(
+  address: string,
+  onError: (error: Error) => void,
+): Promise<Metrics> {
+  const exporter = new PrometheusExporter({ preventServerStart: true });
+  const server = await serveMetrics(address, { exporter, onError });
   const provider = new MeterProvider({ readers: [exporter] });
   const meter = provider.getMeter("bamboolane");
   const totalsByName = Object.fromEntries(
@@ -124,7 +150,10 @@
       });
       gauge.addCallback((result) => result.observe(read()));
     },
-    close: () => provider.shutdown(),
+    close: () => {
+      server.close();
+      return provider.shutdown();
+    },
   };
 }
 
