Wait for a listen address that is in use

Callers found no entry: a process ended with code 1 when one of its six addresses was in use at its start, for example because its predecessor was still answering its last requests. Nothing but the last line on standard error told why.

The new scenarios of start.feature need what is new.

--- a/packages/gateway/features/start.feature
+++ b/packages/gateway/features/start.feature
@@ -1,6 +1,27 @@
 Feature: A start goes on until the entry serves
   What a start waits for is in the log. Only an error that doesn't pass ends the process.
 
+  Scenario Outline: A start waits for an address that another program uses for a moment
+    Given a store with a route of each kind
+    And an entry "e1" whose address for <listener> another program uses
+    Then the log names that address as one that the start waits for
+    When the other program ends
+    Then "e1" is ready within 1 s
+
+    Examples:
+      | listener  |
+      | callers   |
+      | readiness |
+      | directory |
+      | state     |
+      | peers     |
+
+  Scenario: An entry that waits for an address stops within its grace period
+    Given a store with a route of each kind
+    And an entry "e1" whose address for callers another program uses
+    Then the log names that address as one that the start waits for
+    And a stop of "e1" is over within 1200 ms
+
   Scenario: A second error of an open listener doesn't end the process
     Given an open readiness listener
     When accepting a connection fails twice
--- a/packages/gateway/features/start_steps.ts
+++ b/packages/gateway/features/start_steps.ts
@@ -2,14 +2,21 @@
  * Steps for the start of an entry.
  */
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { once } from "node:events";
 import type { Server } from "node:http";
+import { createServer } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
 import { serveReadiness } from "@bamboolane/gateway/directory_server";
+import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
 import { createLogger } from "@bamboolane/logger/create_logger";
 import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
-import { testDialect } from "./support/test_gateway.ts";
+import { gatewayOf, world } from "./support/scenario.ts";
+import { testDialect, until, untilWithin } from "./support/test_gateway.ts";
 
+/** Sockets of another program, and the address that they use. */
+let occupied: { address: string; release: () => void } | undefined;
 let logText = "";
 let listener: { server: Server; address: string } | undefined;
 const log = createLogger({
@@ -18,11 +25,67 @@
 });
 
 After(() => {
+  occupied?.release();
+  occupied = undefined;
   logText = "";
   listener?.server.close();
   listener = undefined;
 });
 
+/** Uses an address for TCP and UDP. */
+async function occupy(address: string): Promise<void> {
+  const [host, port] = address.split(":");
+  const server = createServer().listen(Number(port), host);
+  const socket = createSocket("udp4").bind(Number(port), host);
+  await Promise.all([once(server, "listening"), once(socket, "listening")]);
+  const release = () => {
+    occupied = undefined;
+    server.close();
+    socket.close();
+  };
+  occupied = { address, release };
+}
+
+Given(
+  /^an entry "(\w+)" whose address for (\w+) another program uses$/,
+  (id: string, listener: keyof GatewaySettings["listen"]) =>
+    world.system.addEntry(id, {
+      beforeStart: (listen) => occupy(listen[listener]),
+    }),
+);
+
+Then("the log names that address as one that the start waits for", async () => {
+  const line = new RegExp(
+    `event=listen_waiting .* address=${occupied?.address} `,
+  );
+  await until(() => line.test(world.system.logText), "the log says so");
+  assert.doesNotMatch(world.system.logText, /event=ready /);
+});
+
+When("the other program ends", () => occupied?.release());
+
+Then(
+  "{string} is ready within {int} s",
+  (entry: string, seconds: number) =>
+    untilWithin(async () => {
+      const { readiness } = world.system.settings(entry).listen;
+      const response = await request(
+        `http://${readiness}${testDialect.readinessPath}`,
+      ).catch(() => undefined);
+      await response?.body.dump();
+      return response?.statusCode === 200;
+    }, { seconds, description: `${entry} is ready` }),
+);
+
+Then(
+  "a stop of {string} is over within {int} ms",
+  async (entry: string, maxMillis: number) => {
+    const startMillis = performance.now();
+    await gatewayOf(entry).stop();
+    assert.ok(performance.now() - startMillis <= maxMillis);
+  },
+);
+
 Given("an open readiness listener", async () => {
   const address = reserveAddress();
   const options = { log, dialect: testDialect, isReady: () => true };
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -177,6 +177,8 @@
       region?: string;
       graceMillis?: number;
       memoryBytes?: number;
+      /** Called with the addresses before the start, which then isn't awaited. */
+      beforeStart?: (listen: GatewaySettings["listen"]) => Promise<void>;
     } = {},
   ): Promise<void> {
     if (options.storeUnavailable) this.store.setUnavailable(id, true);
@@ -207,7 +209,8 @@
       },
       log: { level: "info" },
     };
-    const gateway = await startGateway({
+    await options.beforeStart?.(settings.listen);
+    const gateway = startGateway({
       settings,
       dialect: testDialect,
       store: this.store.connect(id),
@@ -219,6 +222,8 @@
       metrics: createNoopMetrics(),
     });
     this.entries.set(id, { settings, gateway });
+    if (options.beforeStart) return;
+    await gateway.listening;
     if (!options.storeUnavailable) {
       await until(() => gateway.state.isComplete, `${id} has its state`);
     }
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -72,6 +72,8 @@
   readonly #socket: Socket;
   #timer: NodeJS.Timeout | undefined;
   #tickCount = 0;
+  /** Sending from an unbound socket would bind it to any port. */
+  #isBound = false;
   #stopped = false;
   #hasServed = false;
   /** Newest digest of each data centre that was not forwarded yet. */
@@ -81,11 +83,6 @@
     this.#options = options;
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes) => this.#receive(bytes));
-    this.#socket.on(
-      "error",
-      (error) =>
-        options.log.warn("peer_socket_error", { error: error.message }),
-    );
   }
 
   listen(): Promise<void> {
@@ -94,6 +91,14 @@
       this.#socket.once("error", reject);
       this.#socket.bind(Number(port), host, () => {
         this.#socket.off("error", reject);
+        this.#socket.on(
+          "error",
+          (error) =>
+            this.#options.log.warn("peer_socket_error", {
+              error: error.message,
+            }),
+        );
+        this.#isBound = true;
         this.#tick();
         resolve();
       });
@@ -303,7 +308,7 @@
   }
 
   #send(peer: EntryRecord, bytes: Buffer): void {
-    if (this.#stopped) return;
+    if (this.#stopped || !this.#isBound) return;
     const [host, port] = peer.peerAddress.split(":");
     this.#socket.send(bytes, Number(port), host, (error) => {
       if (error) {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -16,6 +16,7 @@
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GatewayState } from "./gateway_state.ts";
+import { listenWhenPossible } from "./listen.ts";
 import { PeerTask } from "./peer_task.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { StallMonitor } from "./stall_monitor.ts";
@@ -34,6 +35,11 @@
 /** A running gateway. */
 export interface RunningGateway {
   state: GatewayState;
+  /**
+   * Resolves once the gateway listens on all addresses, or stops; rejects after an
+   * error that doesn't pass.
+   */
+  listening: Promise<void>;
   /** Requests in progress, for the log; `max` of them at most. */
   describeRequests(max: number): string;
   /** Stops gracefully within the grace period; joins a stop that is in progress. */
@@ -73,10 +79,8 @@
  */
 const MAX_LOOKUP_TTL_MILLIS = 2000;
 
-/** Starts all tasks; resolves once the process listens. */
-export async function startGateway(
-  options: GatewayOptions,
-): Promise<RunningGateway> {
+/** Starts all tasks. */
+export function startGateway(options: GatewayOptions): RunningGateway {
   const { settings, dialect, store, log, metrics } = options;
   const startedAtMillis = performance.now();
   const self: EntryRecord = {
@@ -145,26 +149,10 @@
   });
   let stopping = false;
   let stopped: Promise<void> | undefined;
+  let isListening = false;
+  const servers: Server[] = [];
   stateTask.start();
-  await callers.listen(settings.listen.callers);
-  await forwarded.listen(settings.listen.peers);
-  const servers: Server[] = await Promise.all([
-    serveReadiness(settings.listen.readiness, { log, dialect, isReady }),
-    serveDirectory(settings.listen.directory, {
-      log,
-      dialect,
-      state,
-      ttlMillis: Math.min(MAX_LOOKUP_TTL_MILLIS, settings.lookupTtlMillis),
-      isReady,
-      liveEntries,
-    }),
-    serveState(settings.listen.state, { log, state }),
-  ]);
-  await peers.listen();
-  log.info("started", {
-    callers: settings.listen.callers,
-    tookMillis: Math.round(startedAtMillis),
-  });
+  const listening = listenOnAll();
   state.onRestore = () => {
     if (isReady()) setTimeout(register, REGISTER_AGAIN_MILLIS * Math.random());
   };
@@ -188,8 +176,60 @@
   }, STATUS_POLL_MILLIS);
   registerGauges();
 
+  async function listenOnAll(): Promise<void> {
+    const { listen } = settings;
+    const ttlMillis = Math.min(MAX_LOOKUP_TTL_MILLIS, settings.lookupTtlMillis);
+    const open = async (opening: Promise<Server>) => {
+      servers.push(await opening);
+    };
+    const listeners = [
+      ["callers", listen.callers, () => callers.listen(listen.callers)],
+      ["forwarded", listen.peers, () => forwarded.listen(listen.peers)],
+      ["peers", listen.peers, () => peers.listen()],
+      [
+        "readiness",
+        listen.readiness,
+        () => open(serveReadiness(listen.readiness, { log, dialect, isReady })),
+      ],
+      [
+        "directory",
+        listen.directory,
+        () =>
+          open(serveDirectory(listen.directory, {
+            log,
+            dialect,
+            state,
+            ttlMillis,
+            isReady,
+            liveEntries,
+          })),
+      ],
+      [
+        "state",
+        listen.state,
+        () => open(serveState(listen.state, { log, state })),
+      ],
+    ] as const;
+    await Promise.all(
+      listeners.map(([listener, address, openListener]) =>
+        listenWhenPossible(openListener, {
+          listener,
+          address,
+          log,
+          isStopping: () => stopping,
+        })
+      ),
+    );
+    if (stopping) return;
+    isListening = true;
+    log.info("started", {
+      callers: listen.callers,
+      tookMillis: Math.round(performance.now()),
+    });
+  }
+
   function isReady(): boolean {
-    return state.isComplete && !stopping;
+    return state.isComplete && isListening && !stopping;
   }
 
   function liveEntries(): EntryRecord[] {
@@ -308,6 +348,7 @@
 
   return {
     state,
+    listening,
     describeRequests: (max) => runner.describeActive(max),
     stop: () => stopped ??= stopGracefully(),
   };
