Log what an entry waits for until it is ready

An entry could listen and never be ready without a line that says why: with a store that answers and has no configuration or no rows, one whose pages never end, or one that answers late, the last line was "started" or "target_added". The users' case without a start left no logs; the next one has to be told apart from its lines.

The start is logged with the store and the seeds before anything can fail, and not_ready names what is missing (listeners, configuration, targets) after 1 s and every 5 s.

Before: start.feature fails with "not within 3 s: the log says what the entry lacks".

--- a/packages/gateway/features/start.feature
+++ b/packages/gateway/features/start.feature
@@ -22,6 +22,11 @@
     Then the log names that address as one that the start waits for
     And a stop of "e1" is over within 1200 ms
 
+  Scenario: An entry that can't serve logs what it lacks
+    Given a store without a configuration
+    And an entry "e1" that waits for its state
+    Then the log says within 3 s that "e1" waits for "configuration"
+
   Scenario: A second error of an open listener doesn't end the process
     Given an open readiness listener
     When accepting a connection fails twice
--- a/packages/gateway/features/start_steps.ts
+++ b/packages/gateway/features/start_steps.ts
@@ -13,7 +13,12 @@
 import { createLogger } from "@bamboolane/logger/create_logger";
 import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
 import { gatewayOf, world } from "./support/scenario.ts";
-import { testDialect, until, untilWithin } from "./support/test_gateway.ts";
+import {
+  testDialect,
+  TestGateway,
+  until,
+  untilWithin,
+} from "./support/test_gateway.ts";
 
 /** Sockets of another program, and the address that they use. */
 let occupied: { address: string; release: () => void } | undefined;
@@ -62,6 +67,29 @@
   assert.doesNotMatch(world.system.logText, /event=ready /);
 });
 
+Given("a store without a configuration", () => {
+  world.system = new TestGateway();
+});
+
+Given(
+  "an entry {string} that waits for its state",
+  (id: string) =>
+    world.system.addEntry(id, { beforeStart: () => Promise.resolve() }),
+);
+
+Then(
+  "the log says within {int} s that {string} waits for {string}",
+  (seconds: number, entry: string, name: string) => {
+    const line = new RegExp(
+      `event=not_ready instance=${entry} waitsFor=${name} `,
+    );
+    return untilWithin(() => line.test(world.system.logText), {
+      seconds,
+      description: "the log says what the entry lacks",
+    });
+  },
+);
+
 When("the other program ends", () => occupied?.release());
 
 Then(
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -53,6 +53,9 @@
 const BODY_MEMORY_SHARE = 0.35;
 /** Memory for bodies where the limit of the process isn't known. */
 const DEFAULT_BODY_MEMORY_BYTES = 134_217_728;
+/** Time after which a start that isn't over is logged, and then the interval of that. */
+const FIRST_REMINDER_MILLIS = 1000;
+const REMINDER_INTERVAL_MILLIS = 5000;
 const CLEANUP_INTERVAL_MILLIS = 500;
 const STATUS_POLL_MILLIS = 20;
 /** Time to wait for peers' first heartbeats before the directory lists this entry alone. */
@@ -83,6 +86,11 @@
 export function startGateway(options: GatewayOptions): RunningGateway {
   const { settings, dialect, store, log, metrics } = options;
   const startedAtMillis = performance.now();
+  log.info("starting", {
+    store: settings.storeAddress,
+    seeds: settings.seeds.join(","),
+    processMillis: Math.round(startedAtMillis),
+  });
   const self: EntryRecord = {
     id: settings.instance.id,
     incarnation: Date.now(),
@@ -167,8 +175,9 @@
       }
     }
   }, CLEANUP_INTERVAL_MILLIS);
+  let nextReminderMillis = startedAtMillis + FIRST_REMINDER_MILLIS;
   const readinessTimer = setInterval(() => {
-    if (!isReady()) return;
+    if (!isReady()) return remindNotReady();
     clearInterval(readinessTimer);
     log.info("ready", { tookMillis: Math.round(performance.now()) });
     peers.announce();
@@ -228,6 +237,23 @@
     });
   }
 
+  /** Logs what the entry waits for, unless it did so shortly before. */
+  function remindNotReady(): void {
+    const nowMillis = performance.now();
+    if (stopping || nowMillis < nextReminderMillis) return;
+    nextReminderMillis = nowMillis + REMINDER_INTERVAL_MILLIS;
+    const waitsFor = [
+      isListening ? undefined : "listeners",
+      state.config === undefined ? "configuration" : undefined,
+      state.targets.isComplete ? undefined : "targets",
+    ].filter((name) => name !== undefined);
+    log.warn("not_ready", {
+      waitsFor: waitsFor.join(","),
+      store: settings.storeAddress,
+      waitedMillis: Math.round(nowMillis - startedAtMillis),
+    });
+  }
+
   function isReady(): boolean {
     return state.isComplete && isListening && !stopping;
   }
