Serve metrics once their port is free

An entry whose metrics port was in use 10 s after its start served no metrics until its next start: the load was tried once. It is tried again every 10 s; what was counted meanwhile is kept.

Before: deferred_metrics.feature fails with "function timed out, ensure the promise resolves within 5000 milliseconds".

--- a/packages/metrics/src/deferred_metrics.ts
+++ b/packages/metrics/src/deferred_metrics.ts
@@ -18,7 +18,7 @@
 
 /** Options of {@link deferMetrics}. */
 export interface DeferredMetricsOptions {
-  /** Delay before the library is loaded. */
+  /** Delay before the library is loaded, and between two attempts. */
   delayMillis: number;
   /** Loads the library and starts the scrape endpoint. */
   load: () => Promise<Metrics>;
@@ -51,11 +51,21 @@
     loaded = metrics;
   }
 
-  const timer = setTimeout(
-    () => load().catch(options.onError),
-    options.delayMillis,
-  );
-  timer.unref();
+  let timer: NodeJS.Timeout;
+
+  function scheduleLoad(): void {
+    timer = setTimeout(async () => {
+      try {
+        await load();
+      } catch (error) {
+        options.onError(error as Error);
+        if (!closed) scheduleLoad();
+      }
+    }, options.delayMillis);
+    timer.unref();
+  }
+
+  scheduleLoad();
   return {
     count(name, amount, labels) {
       if (loaded) return loaded.count(name, amount, labels);
