--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -90,9 +90,14 @@
       | sends half an answer in chunks and closes                    |
       | sends half an answer with a length and closes                |
 
-  Scenario: A request that has not been written when a surplus answer ends its connection is sent on another one
+  Scenario Outline: A request that has not been written when a surplus answer ends its connection is sent on another one
     Given a target "t1" that answers twice
     And an entry "e1"
     When a caller of "e1" posts "/write/x"
-    And 12 callers of "e1" post "/batch/x"
+    And 12 callers of "e1" post "<path>"
     Then each caller got the status 200
+
+    Examples:
+      | path     |
+      | /batch/x |
+      | /once/x  |
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -83,6 +83,11 @@
       ...route("/batch/", RepeatPolicy.atMostOnce, 20_000),
       objectiveMillis: 10_000,
     },
+    {
+      ...route("/once/", RepeatPolicy.atMostOnce, 20_000),
+      objectiveMillis: 10_000,
+      attempts: 1,
+    },
     {
       ...route("/home/", RepeatPolicy.idempotent, 2000),
       allowedRegions: ["a"],
