Reject requests with more than one Host line

Cause: the HTTP client refuses such a request before it connects, which the entry took for a failed connection. HTTP asks for a 400.

Before, 'A request with two Host lines is rejected and leaves its target in use': 503 instead of 400. After: it passes.

--- a/packages/gateway/features/ending_steps.ts
+++ b/packages/gateway/features/ending_steps.ts
@@ -32,6 +32,17 @@
   );
 }
 
+When("a caller of {string} sends two Host lines", async (entry: string) => {
+  const caller = connectTo(entry);
+  raw.callers = [caller];
+  send(caller, "/read/x", { headers: "Host: other.example\r\n" });
+  await until(() => answersOf(caller).length > 0, "the caller has an answer");
+});
+
+Then("no entry found a target unreachable", () => {
+  assert.doesNotMatch(world.system.logText, /target_unreachable/);
+});
+
 When(
   "{int} callers of {string} post {string}",
   async (count: number, entry: string, path: string) => {
--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -89,6 +89,13 @@
     When a caller of "e1" gets "/read/x" with 900 ms left
     Then the answer is 200 with the target's body and signature
 
+  Scenario: A request with two Host lines is rejected and leaves its target in use
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends two Host lines
+    Then each caller got the status 400
+    And no entry found a target unreachable
+
   Scenario: A surplus answer on a connection is never forwarded
     Given a target "t1" that answers twice
     And an entry "e1"
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -32,6 +32,7 @@
 import { listen } from "./listen.ts";
 import {
   fingerprintOf,
+  hasSeveralHosts,
   headerBytes,
   readBody,
   readHead,
@@ -247,6 +248,12 @@
         reason: "header too large",
       });
     }
+    if (hasSeveralHosts(request)) {
+      return this.#reject(request, response, {
+        status: 400,
+        reason: "several Host lines",
+      });
+    }
     if (!state.isComplete) {
       log.info("request", { outcome: "refused", reason: "no-configuration" });
       return this.#writeOwnAnswer(request, response, {
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -31,6 +31,13 @@
   return size;
 }
 
+/** True for a request with more than one Host line, which no target may be sent. */
+export function hasSeveralHosts({ rawHeaders }: IncomingMessage): boolean {
+  const isHost = (text: string, i: number) =>
+    i % 2 === 0 && text.length === 4 && text.toLowerCase() === "host";
+  return rawHeaders.filter(isHost).length > 1;
+}
+
 /** Reads the headers of a request. */
 export function readHead(
   request: IncomingMessage,
