Ignore records of entries that name no address

Callers saw connections refused: an entry ended with code 1 when another one's heartbeat, digest or row in the store had no usable address. Such a row ended every entry of the deployment, and again after each restart.

Cause: records of entries were taken as they came. The datagram socket throws for a missing address or a port out of range, in the timer of the heartbeats, where an error is nobody's; the stop that follows sends a heartbeat too, so it was not graceful either.

--- a/packages/gateway/features/fault_steps.ts
+++ b/packages/gateway/features/fault_steps.ts
@@ -2,6 +2,7 @@
  * Steps for errors in the entry itself, and for the end of its process.
  */
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
 import { Then, When } from "@cucumber/cucumber";
 import { createNoopLogger } from "@bamboolane/logger/create_logger";
 import { createLogger, type EventLog } from "@bamboolane/logger/create_logger";
@@ -23,6 +24,8 @@
 } from "./support/scenario.ts";
 import { until } from "./support/test_gateway.ts";
 
+/** Time in which an entry sends further heartbeats. */
+const HEARTBEATS_MILLIS = 400;
 const INJECTED_MESSAGE = "injected by the scenario";
 
 let longAnswers: { caller: RawCaller; bytes: number }[] = [];
@@ -171,3 +174,50 @@
     assert.ok(ended && ended.atMillis - stopAtMillis <= maxMillis);
   },
 );
+
+/** Sends `bytes` to the port for datagrams of an entry. */
+function sendDatagram(entry: string, bytes: Buffer): void {
+  const [host, port] = world.system.settings(entry).listen.peers.split(":");
+  const socket = createSocket("udp4");
+  socket.send(bytes, Number(port), host, () => socket.close());
+}
+
+When(
+  /^a (heartbeat|digest) reaches "(\w+)" from an entry whose peer address is (?:missing|"(.*)")$/,
+  async (kind: string, entry: string, peerAddress: string | undefined) => {
+    const isDigest = kind === "digest";
+    const record = {
+      id: "e9",
+      incarnation: 1,
+      dataCentre: isDigest ? "b1" : "a1",
+      region: "a",
+      callerAddress: "127.0.0.1:1",
+      peerAddress,
+      stateAddress: "127.0.0.1:2",
+    };
+    const message = {
+      kind,
+      [isDigest ? "relay" : "entry"]: record,
+      serving: isDigest ? ["e9"] : true,
+      reachesStore: true,
+      versions: [0, 0],
+      inFlight: {},
+      shares: {},
+      suspects: [],
+      digests: [],
+    };
+    sendDatagram(entry, Buffer.from(JSON.stringify(message)));
+    await pause(HEARTBEATS_MILLIS);
+  },
+);
+
+Then("the log has a {string}", (event: string) => {
+  assert.match(world.system.logText, new RegExp(`event=${event} `));
+});
+
+Then(
+  "a caller of {string} that gets {string} gets {int}",
+  async (entry: string, path: string, status: number) => {
+    assert.equal((await call(entry, path)).status, status);
+  },
+);
--- a/packages/gateway/features/faults.feature
+++ b/packages/gateway/features/faults.feature
@@ -32,3 +32,16 @@
   Scenario: A stop that hangs ends before the grace period is over
     When the stop of a gateway with a grace period of 1 s never ends
     Then the process ended with code 0 within 1000 ms
+
+  Scenario Outline: An entry that names no address to send to is ignored
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a <message> reaches "e1" from an entry whose peer address is <address>
+    Then the log has a "message_unreadable"
+    And a caller of "e1" that gets "/read/x" gets 200
+
+    Examples:
+      | message   | address           |
+      | heartbeat | missing           |
+      | heartbeat | "127.0.0.1:70000" |
+      | digest    | "127.0.0.1"       |
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -4,6 +4,7 @@
  */
 import type { CrashSuspect } from "@bamboolane/types/instance";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import { parseEntryRecord } from "./entry_record.ts";
 import type { RowVersions } from "./latest_rows.ts";
 
 /** What an answer of a target stated about its request limit. */
@@ -79,12 +80,16 @@
   return Buffer.from(JSON.stringify(message));
 }
 
-/** Decodes a datagram; throws unless it is JSON with a known kind. */
+/** Decodes a datagram; throws unless it is JSON of a known kind from a valid entry. */
 export function decodeMessage(bytes: Buffer): PeerMessage {
   const message = JSON.parse(bytes.toString("utf8")) as PeerMessage;
   switch (message.kind) {
     case "heartbeat":
+      parseEntryRecord(message.entry);
+      for (const { relay } of message.digests) parseEntryRecord(relay);
+      return message;
     case "digest":
+      parseEntryRecord(message.relay);
       return message;
     default:
       throw new Error("unknown message kind");
