Check the state that another entry sends

Callers saw connections refused: an entry ended when it fetched its rows from another entry, or from what listens at that address now, and the answer had another shape. With a configuration whose times were null it was aborted by Node.js (SIGABRT), without a line in the log and with all requests in progress.

Cause: the answer was used as it came, whatever its status, in a task whose rejection nobody handles. A time that can't be read is NaN at the entry that reads the store and null at the one that fetches from it; Node.js checks the type of a server's headersTimeout only with an assertion in native code.

An answer is now checked before any of it is applied; one that can't be used counts as a failed fetch (borrow_failed). An error while rows are applied is logged with its stack (borrowed_state_failed).

--- a/packages/gateway/features/fault_steps.ts
+++ b/packages/gateway/features/fault_steps.ts
@@ -211,9 +211,11 @@
   },
 );
 
-Then("the log has a {string}", (event: string) => {
-  assert.match(world.system.logText, new RegExp(`event=${event} `));
-});
+Then("the log has a {string}", (event: string) =>
+  until(
+    () => world.system.logText.includes(`event=${event} `),
+    `the log has a ${event}`,
+  ));
 
 Then(
   "a caller of {string} that gets {string} gets {int}",
--- a/packages/gateway/features/faults.feature
+++ b/packages/gateway/features/faults.feature
@@ -45,3 +45,18 @@
       | heartbeat | missing           |
       | heartbeat | "127.0.0.1:70000" |
       | digest    | "127.0.0.1"       |
+
+  Scenario Outline: A state answer that can't be used ends no entry
+    Given a target "t1" that answers
+    And an entry "e1"
+    And a peer that sends <answer> as its state
+    And an entry "e2" that can't reach the store, with "e1" and that peer as seeds
+    Then "e2" answers 200 to "/read/x" within 3 s
+    And the log has a "borrow_failed"
+
+    Examples:
+      | answer                      |
+      | an empty object             |
+      | a row that is null          |
+      | limits without a time       |
+      | a target without an address |
--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -240,22 +240,58 @@
 
 Given(
   "a peer that still has the state of {string} and sends it after {int} ms",
-  async (entry: string, millis: number) => {
-    const delta = gatewayOf(entry).state.latestRows.changesSince([0, 0]);
-    const body = JSON.stringify(delta);
-    const server = createServer(async (_request, response) => {
-      await pause(millis);
-      response.end(body);
-    });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as { port: number };
-    peerBehind = {
-      address: `127.0.0.1:${port}`,
-      close: () => server.close(),
-    };
-  },
+  (entry: string, millis: number) =>
+    servePeerState(
+      gatewayOf(entry).state.latestRows.changesSince([0, 0]),
+      millis,
+    ),
+);
+
+async function servePeerState(state: unknown, millis: number): Promise<void> {
+  const body = JSON.stringify(state);
+  const server = createServer(async (_request, response) => {
+    await pause(millis);
+    response.end(body);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  peerBehind = {
+    address: `127.0.0.1:${port}`,
+    close: () => server.close(),
+  };
+}
+
+const NO_LIMITS = {
+  headerBytes: null,
+  bodyBytes: null,
+  headerTimeoutMillis: null,
+  idleTimeoutMillis: null,
+};
+
+/** Answers of a peer of another build, by description. */
+const ODD_STATES: Record<string, unknown> = {
+  "an empty object": {},
+  "a row that is null": stateOf(null),
+  "limits without a time": stateOf({
+    kind: "config",
+    version: 1,
+    config: { revision: 1e6, routes: [], services: [], limits: NO_LIMITS },
+  }),
+  "a target without an address": stateOf({
+    kind: "target",
+    version: 1,
+    id: "t9",
+    record: { id: "t9" },
+  }),
+};
+
+function stateOf(row: unknown): unknown {
+  return { rows: [row], whole: true, versions: [1, 1], completeTo: [1, 1] };
+}
+
+Given(
+  /^a peer that sends (.+) as its state$/,
+  (description: string) => servePeerState(ODD_STATES[description], 0),
 );
 
 Given(
--- a/packages/gateway/src/fetch_peer_state.ts
+++ b/packages/gateway/src/fetch_peer_state.ts
@@ -4,6 +4,7 @@
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { request } from "undici";
+import { decodeRowDelta } from "./decode_row_delta.ts";
 import { STATE_PATH } from "./directory_server.ts";
 import type { RowDelta, RowVersions } from "./latest_rows.ts";
 
@@ -28,9 +29,7 @@
     const response = await request(`http://${address}${STATE_PATH}?${query}`, {
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLIS),
     });
-    const delta = await response.body.json() as RowDelta;
-    // Entries of an older build send no `completeTo`.
-    return { ...delta, completeTo: delta.completeTo ?? delta.versions };
+    return decodeRowDelta(await response.body.json());
   } catch (error) {
     options.log.info("borrow_failed", {
       from: address,
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -246,7 +246,16 @@
       rows: delta.rows.length,
       whole: delta.whole,
     });
-    this.#apply(delta);
+    try {
+      this.#apply(delta);
+    } catch (error) {
+      const { message, stack } = error as Error;
+      log.error("borrowed_state_failed", {
+        from: address,
+        error: message,
+        stack,
+      });
+    }
   }
 
   #apply({ rows, whole, completeTo }: RowDelta): void {
