Hold a body that came in chunks once

An entry exceeded its memory, which ends it, while many callers had a body in chunks under way.

Cause: the chunks are joined when the body is complete, but the listeners of the request kept the chunks too until its answer was sent.

The chunks are released once they are joined.

--- a/packages/gateway/features/body_steps.ts
+++ b/packages/gateway/features/body_steps.ts
@@ -2,7 +2,14 @@
  * Steps for requests with large bodies.
  */
 import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
+import process from "node:process";
+import { PassThrough } from "node:stream";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { BodyMemory } from "@bamboolane/gateway/body_memory";
+import { readBody } from "@bamboolane/gateway/read_request";
 import {
   answersOf,
   connectTo,
@@ -86,3 +93,34 @@
     small.map(() => status),
   );
 });
+
+/** Memory of all buffers that are in use. */
+function bufferBytes(): number {
+  setFlagsFromString("--expose-gc");
+  runInNewContext("gc")();
+  return process.memoryUsage().arrayBuffers;
+}
+
+Then(
+  "a body of {int} kB in chunks takes less than {int} kB once it is read",
+  async (kilobytes: number, maxKilobytes: number) => {
+    const before = bufferBytes();
+    const request = Object.assign(new PassThrough(), {
+      headers: { "transfer-encoding": "chunked" },
+    });
+    const { limits } = testConfig(REVISION);
+    const reading = readBody(request as unknown as IncomingMessage, {
+      limits: { ...limits, bodyBytes: kilobytes * BYTES_PER_KILOBYTE },
+      memory: new BodyMemory(Infinity).open(),
+    });
+    for (let i = 0; i < kilobytes; i += 100) {
+      request.write(Buffer.alloc(100 * BYTES_PER_KILOBYTE));
+    }
+    request.end();
+    const result = await reading;
+    const taken = (bufferBytes() - before) / BYTES_PER_KILOBYTE;
+    assert.equal(result.kind, "whole");
+    assert.ok(request.listenerCount("data") > 0);
+    assert.ok(taken < maxKilobytes, `${Math.round(taken)} kB`);
+  },
+);
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -140,7 +140,11 @@
     this.#size += chunk.byteLength;
   }
 
+  /** Returns the body; called once. */
   contents(): Buffer {
-    return this.#announced ?? Buffer.concat(this.#chunks, this.#size);
+    const contents = this.#announced ?? Buffer.concat(this.#chunks, this.#size);
+    // The request's listeners keep this buffer until its answer is sent.
+    this.#chunks = [];
+    return contents;
   }
 }
