--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -281,6 +281,44 @@
   },
 );
 
+const NO_LIMITS = {
+  headerBytes: null,
+  bodyBytes: null,
+  headerTimeoutMillis: null,
+  idleTimeoutMillis: null,
+};
+
+/** Answers of a peer of another build, by description. */
+const ODD_STATES: Record<string, unknown> = {
+  "an empty object": {},
+  "a row that is null": stateOf(null),
+  "limits without a time": stateOf({
+    kind: "config",
+    version: 1,
+    config: { revision: 1e6, routes: [], services: [], limits: NO_LIMITS },
+  }),
+  "a target without an address": stateOf({
+    kind: "target",
+    version: 1,
+    id: "t9",
+    record: { id: "t9" },
+  }),
+};
+
+function stateOf(row: unknown): unknown {
+  return { rows: [row], whole: true, versions: [1, 1], completeTo: [1, 1] };
+}
+
+Given(
+  /^a peer that sends (.+) as its state$/,
+  (description: string) =>
+    startPeer({
+      status: 200,
+      body: JSON.stringify(ODD_STATES[description]),
+      delayMillis: 0,
+    }),
+);
+
 Given(
   "an entry {string} that can't reach the store, with {string} and that peer as seeds",
   (id: string, seed: string) =>
--- a/packages/gateway/src/fetch_peer_state.ts
+++ b/packages/gateway/src/fetch_peer_state.ts
@@ -4,6 +4,7 @@
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { request } from "undici";
+import { decodeRowDelta } from "./decode_row_delta.ts";
 import { STATE_PATH } from "./directory_server.ts";
 import type { RowDelta, RowVersions } from "./latest_rows.ts";
 
@@ -28,16 +29,11 @@
     const response = await request(`http://${address}${STATE_PATH}?${query}`, {
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLIS),
     });
-    const { statusCode } = response;
-    if (statusCode !== 200) {
+    if (response.statusCode !== 200) {
       await response.body.dump();
-      throw new Error(`status ${statusCode}`);
+      throw new Error(`status ${response.statusCode}`);
     }
-    const delta = await response.body.json();
-    // Something else may listen at the address of an entry that has ended.
-    if (!isRowDelta(delta)) throw new Error("not the state of an entry");
-    // Entries of an older build send no `completeTo`.
-    return { ...delta, completeTo: delta.completeTo ?? delta.versions };
+    return decodeRowDelta(await response.body.json());
   } catch (error) {
     options.log.info("borrow_failed", {
       from: address,
@@ -46,19 +42,3 @@
     return undefined;
   }
 }
-
-function isRowDelta(value: unknown): value is RowDelta {
-  const { rows, versions, completeTo = versions } = (value ?? {}) as Partial<
-    RowDelta
-  >;
-  return Array.isArray(rows) && isRowVersions(versions) &&
-    isRowVersions(completeTo) &&
-    rows.every((row) =>
-      typeof row?.kind === "string" && Number.isFinite(row.version)
-    );
-}
-
-function isRowVersions(value: unknown): value is RowVersions {
-  return Array.isArray(value) && value.length === 2 &&
-    value.every(Number.isFinite);
-}
