--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -89,6 +89,13 @@
     When a caller of "e1" gets "/read/x" with 900 ms left
     Then the answer is 200 with the target's body and signature
 
+  Scenario: A request with two Host lines is rejected and leaves its target in use
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends two Host lines
+    Then each caller got the status 400
+    And no entry found a target unreachable
+
   Scenario: A surplus answer on a connection is never forwarded
     Given a target "t1" that answers twice
     And an entry "e1"
@@ -207,6 +214,9 @@
     When 1 callers of "e1" post bodies of 1000 kB to "/batch/x", and 0 callers bodies of 1 kB
     Then 1 of the large bodies is answered 200, and 0 are answered 503 with a Retry-After
 
+  Scenario: A body in chunks is not held twice while its answer is due
+    Then a body of 4000 kB in chunks takes less than 6000 kB once it is read
+
   Scenario: A stop answers pipelined requests in progress and closes the connection after the last
     Given a target "t1" that answers after 400 ms
     And an entry "e1"
@@ -271,6 +281,20 @@
     And an entry "e2" that can't reach the store, with "e1" as seed
     Then "e2" answers 200 to "/read/x" within 3 s
 
+  Scenario Outline: An entry whose seed's address answers <status> to others fetches its state from another seed
+    Given a target "t1" that answers
+    And an entry "e1"
+    And a peer that answers <status> with '<body>'
+    And an entry "e2" that can't reach the store, with "e1" and that peer as seeds
+    Then "e2" answers 200 to "/read/x" within 3 s
+    And the log names the address from which nothing could be borrowed
+
+    Examples:
+      | status | body                   |
+      | 404    | {}                     |
+      | 503    | {"rows":[],"whole":1}  |
+      | 200    | {"state":"serving"}    |
+
   Scenario: A restarted entry doesn't take back a target that left, or an evacuation that ended, from a peer that is behind
     Given a target "t1" that answers
     And a target "t2" that answers
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -83,6 +83,11 @@
       ...route("/batch/", RepeatPolicy.atMostOnce, 20_000),
       objectiveMillis: 10_000,
     },
+    {
+      ...route("/once/", RepeatPolicy.atMostOnce, 20_000),
+      objectiveMillis: 10_000,
+      attempts: 1,
+    },
     {
       ...route("/home/", RepeatPolicy.idempotent, 2000),
       allowedRegions: ["a"],
@@ -177,6 +182,8 @@
       region?: string;
       graceMillis?: number;
       memoryBytes?: number;
+      /** Called with the addresses before the start, which then isn't awaited. */
+      beforeStart?: (listen: GatewaySettings["listen"]) => Promise<void>;
     } = {},
   ): Promise<void> {
     if (options.storeUnavailable) this.store.setUnavailable(id, true);
@@ -207,7 +214,8 @@
       },
       log: { level: "info" },
     };
-    const gateway = await startGateway({
+    await options.beforeStart?.(settings.listen);
+    const gateway = startGateway({
       settings,
       dialect: testDialect,
       store: this.store.connect(id),
@@ -219,6 +227,8 @@
       metrics: createNoopMetrics(),
     });
     this.entries.set(id, { settings, gateway });
+    if (options.beforeStart) return;
+    await gateway.listening;
     if (!options.storeUnavailable) {
       await until(() => gateway.state.isComplete, `${id} has its state`);
     }
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -75,7 +75,7 @@
     const nowMillis = performance.now();
     const remainingMillis = request.expiresAtMillis - nowMillis;
     const connections = this.#connectionsTo(peer.peerAddress);
-    const connection = connections.acquire(nowMillis);
+    const connection = connections.acquire(request.id, nowMillis);
     this.#adjust(peer.id, 1);
     log.info("forward", {
       request: request.id,
@@ -103,6 +103,15 @@
       remainingMillis,
       onHead: () => {},
       onEnd: (end) => {
+        if (end.kind === "lost" && end.namedRequest !== undefined) {
+          connections.recordSurplusAnswer(performance.now());
+          log.warn("answer_unmatched", {
+            request: request.id,
+            peer: peer.id,
+            named: end.namedRequest,
+          });
+        }
+        if (end.kind === "not-run") connection.carriedRefusal = true;
         finish(isComplete(end) && !end.closesConnection);
         onEnd(end);
       },
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -331,7 +331,7 @@
     request.arrivals++;
     request.possibleRuns++;
     const connections = this.#connectionsTo(target);
-    const connection = connections.acquire(nowMillis);
+    const connection = connections.acquire(request.id, nowMillis);
     log.info("send", {
       request: request.id,
       target: record.id,
@@ -343,6 +343,7 @@
       ),
       warm: placement.warm,
       limitPerSecond: target.requestLimit.perSecond,
+      connectionUse: connection.requestCount,
       waitMillis: Math.round(placement.waitMillis),
       expectedMillis: Math.round(placement.finishMillis),
       leftMillis: Math.round(remainingMillis),
@@ -382,6 +383,10 @@
         if (end.kind === "lost" && CONNECTION_CLOSED_CODES.has(end.reason)) {
           connections.recordStaleConnection(connection, endMillis);
         }
+        if (end.kind === "lost" && end.namedRequest !== undefined) {
+          connections.recordSurplusAnswer(endMillis);
+        }
+        if (end.kind === "not-run") connection.carriedRefusal = true;
         finishAttempt(isAnswerComplete && !end.closesConnection);
         this.#attemptRecorder.recordAttempt(request, {
           target,
@@ -463,6 +468,7 @@
         if (end.kind !== "not-run") request.arrivals--;
         // The target is sound; only this connection to it has ended.
         if (end.kind === "unsent") {
+          request.sends--;
           request.triedTargets.delete(target.record.id);
         }
         if (this.#retry(request, end.kind)) return;
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -3,6 +3,9 @@
  * time. The most recently used idle one is reused first, so that few stay open.
  * A connection whose request got no answer is never reused; when a request
  * expires, connections that were idle since before its send are closed too.
+ *
+ * No connection carries two requests with the same id: a target may send an answer
+ * again later, and only the id tells such a copy from the answer that is due.
  */
 import { connect, type Socket } from "node:net";
 import { buildConnector, Client } from "undici";
@@ -26,6 +29,20 @@
  * proved dead: a few idle timeouts.
  */
 const REDUCED_IDLE_PERIOD_MILLIS = 10_000;
+/**
+ * How long after an answer too many a target's connections are closed once they carried
+ * a refusal, since copies of it may follow in place of later answers.
+ */
+const SURPLUS_PERIOD_MILLIS = 10_000;
+/** Requests after which a connection is closed; bounds the memory for their ids. */
+const MAX_REQUESTS_PER_CONNECTION = 256;
+/** Size of the ids of its requests after which a connection is closed. */
+const MAX_ID_CHARACTERS = 16_384;
+/**
+ * Idle connections that are kept although none of them may carry the next request; they
+ * would add up while the same request comes again and again.
+ */
+const MAX_UNUSABLE_IDLE = 3;
 /** Timeout of the check whether a target's port is closed. */
 const PORT_CHECK_TIMEOUT_MILLIS = 300;
 
@@ -143,6 +160,10 @@
   readonly #closeProbe = new CloseProbe();
   readonly #headGuard = new HeadGuard();
   readonly #readingPause = new ReadingPause();
+  /** True once the target refused a request on this connection. */
+  carriedRefusal = false;
+  readonly #requestIds = new Set<string>();
+  #idCharacters = 0;
 
   constructor(
     address: string,
@@ -176,6 +197,31 @@
     return this.lastUsedAtMillis > 0;
   }
 
+  /** Requests that the connection has carried, with the current one. */
+  get requestCount(): number {
+    return this.#requestIds.size;
+  }
+
+  /** True if the connection has to be closed after its current request. */
+  get isWorn(): boolean {
+    return this.requestCount >= MAX_REQUESTS_PER_CONNECTION ||
+      this.#idCharacters >= MAX_ID_CHARACTERS;
+  }
+
+  /**
+   * True if the answer to a request with this id can be told from copies of earlier
+   * answers. Answers to requests without an id name none.
+   */
+  mayCarry(requestId: string): boolean {
+    return requestId === "" ? !this.isReused : !this.#requestIds.has(requestId);
+  }
+
+  /** Records the request that the connection is about to carry. */
+  recordRequest(requestId: string): void {
+    this.#requestIds.add(requestId);
+    this.#idCharacters += requestId.length;
+  }
+
   /** Announces that a request is sent, so that the size of its answer's head is bounded. */
   expectHead(): void {
     this.#headGuard.expectHead();
@@ -225,6 +271,7 @@
   /** Maximum idle time of a reused connection, until `#idleLimitEndsAtMillis`. */
   #idleLimitMillis = Infinity;
   #idleLimitEndsAtMillis = -Infinity;
+  #surplusEndsAtMillis = -Infinity;
 
   constructor(
     address: string,
@@ -238,18 +285,25 @@
     return this.#open;
   }
 
-  /** Returns an idle connection, or a new one that connects with its first request. */
-  acquire(nowMillis: number): TargetConnection {
-    const idle = this.#takeIdle(nowMillis);
-    if (idle) return idle;
-    this.#open++;
-    const connection: TargetConnection = new TargetConnection(this.#address, {
-      onClosed: () => this.#remove(connection),
-      onConnected: () => this.#onConnected(performance.now() - nowMillis),
-    });
+  /**
+   * Returns a connection for a request: an idle one, or a new one that connects with
+   * its first request.
+   */
+  acquire(requestId: string, nowMillis: number): TargetConnection {
+    const connection = this.#takeIdle(requestId, nowMillis) ??
+      this.#create(nowMillis);
+    connection.recordRequest(requestId);
     return connection;
   }
 
+  /** Records that the target sent an answer that doesn't belong to the request under way. */
+  recordSurplusAnswer(nowMillis: number): void {
+    this.#surplusEndsAtMillis = nowMillis + SURPLUS_PERIOD_MILLIS;
+    for (const connection of [...this.#idle]) {
+      if (connection.carriedRefusal) this.discard(connection);
+    }
+  }
+
   /** Records that a reused connection proved dead: other idle ones may be dead too. */
   recordStaleConnection(connection: TargetConnection, nowMillis: number): void {
     if (connection.idleBeforeMillis === 0) return;
@@ -264,6 +318,10 @@
 
   /** Keeps a connection for reuse, unless it was closed. */
   release(connection: TargetConnection, nowMillis: number): void {
+    if (
+      connection.isWorn ||
+      connection.carriedRefusal && nowMillis < this.#surplusEndsAtMillis
+    ) return this.discard(connection);
     connection.lastUsedAtMillis = nowMillis;
     if (connection.connected && !connection.client.destroyed) {
       this.#idle.push(connection);
@@ -287,20 +345,37 @@
     for (const connection of [...this.#idle]) this.discard(connection);
   }
 
-  /** Takes the most recently used idle connection, unless it was idle for too long. */
-  #takeIdle(nowMillis: number): TargetConnection | undefined {
-    const connection = this.#idle[this.#idle.length - 1];
-    if (connection === undefined) return undefined;
+  #create(nowMillis: number): TargetConnection {
+    if (this.#idle.length > MAX_UNUSABLE_IDLE) this.discard(this.#idle[0]);
+    this.#open++;
+    const connection: TargetConnection = new TargetConnection(this.#address, {
+      onClosed: () => this.#remove(connection),
+      onConnected: () => this.#onConnected(performance.now() - nowMillis),
+    });
+    return connection;
+  }
+
+  /**
+   * Takes the most recently used idle connection that may carry the request, unless it
+   * was idle for too long.
+   */
+  #takeIdle(
+    requestId: string,
+    nowMillis: number,
+  ): TargetConnection | undefined {
+    const index = this.#idle.findLastIndex((idle) => idle.mayCarry(requestId));
+    if (index < 0) return undefined;
+    const connection = this.#idle[index];
     const idleMillis = nowMillis - connection.lastUsedAtMillis;
     if (
       nowMillis < this.#idleLimitEndsAtMillis &&
       idleMillis > this.#idleLimitMillis
     ) {
-      // The others have been idle even longer.
-      this.closeIdle();
+      // The list is in the order of last use.
+      for (const idle of this.#idle.slice(0, index + 1)) this.discard(idle);
       return undefined;
     }
-    this.#idle.pop();
+    this.#idle.splice(index, 1);
     connection.idleBeforeMillis = idleMillis;
     return connection;
   }
