Leave no handlers of failed attempts to listen

An entry whose address was in use for more than a second printed a MaxListenersExceededWarning, and logged each later error of the listener as often as it had tried: an attempt that failed left its handler for "listening" behind, and the successful one ran them all.

Before: start.feature fails with "8 !== 2" lines after 3 failed attempts.

--- a/packages/gateway/features/start.feature
+++ b/packages/gateway/features/start.feature
@@ -27,7 +27,13 @@
     And an entry "e1" that waits for its state
     Then the log says within 3 s that "e1" waits for "configuration"
 
+  Scenario: Failed attempts to listen leave no handlers behind
+    Given a server that could not listen for 3 attempts
+    When accepting a connection fails twice
+    Then each failure is in the log once
+
   Scenario: A second error of an open listener doesn't end the process
     Given an open readiness listener
     When accepting a connection fails twice
-    Then each failure is in the log, and the listener answers 200
+    Then each failure is in the log once
+    And the listener answers 200
--- a/packages/gateway/features/start_steps.ts
+++ b/packages/gateway/features/start_steps.ts
@@ -4,12 +4,13 @@
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
-import type { Server } from "node:http";
+import { createServer as createHttpServer, type Server } from "node:http";
 import { createServer } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
 import { serveReadiness } from "@bamboolane/gateway/directory_server";
 import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
+import { listen } from "@bamboolane/gateway/listen";
 import { createLogger } from "@bamboolane/logger/create_logger";
 import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
 import { gatewayOf, world } from "./support/scenario.ts";
@@ -126,15 +127,30 @@
   }
 });
 
-Then(
-  "each failure is in the log, and the listener answers {int}",
-  async (status: number) => {
-    const response = await request(
-      `http://${listener?.address}${testDialect.readinessPath}`,
-    );
-    await response.body.dump();
-    assert.equal(response.statusCode, status);
-    log.flush();
-    assert.equal(logText.match(/event=accept_connection_failed/g)?.length, 2);
+Given(
+  "a server that could not listen for {int} attempts",
+  async (attempts: number) => {
+    const address = reserveAddress();
+    await occupy(address);
+    const server = createHttpServer();
+    for (let i = 0; i < attempts; i++) {
+      await assert.rejects(listen(server, address, { log }));
+    }
+    occupied?.release();
+    await listen(server, address, { log });
+    listener = { server, address };
   },
 );
+
+Then("each failure is in the log once", () => {
+  log.flush();
+  assert.equal(logText.match(/event=accept_connection_failed/g)?.length, 2);
+});
+
+Then("the listener answers {int}", async (status: number) => {
+  const response = await request(
+    `http://${listener?.address}${testDialect.readinessPath}`,
+  );
+  await response.body.dump();
+  assert.equal(response.statusCode, status);
+});
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -20,17 +20,22 @@
 ): Promise<void> {
   const [host, port] = address.split(":");
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port), backlog }, () => {
-      server.off("error", reject);
+    const onError = (error: Error) => {
+      server.off("listening", onListening);
+      reject(error);
+    };
+    const onListening = () => {
+      server.off("error", onError);
       // Accepting a connection may fail, for example for lack of descriptors.
-      server.on("error", (error) =>
-        log.error("accept_connection_failed", {
-          address,
-          error: error.message,
-        }));
+      server.on(
+        "error",
+        ({ message }) =>
+          log.error("accept_connection_failed", { address, error: message }),
+      );
       resolve();
-    });
+    };
+    server.once("error", onError).once("listening", onListening);
+    server.listen({ host, port: Number(port), backlog });
   });
 }
 
