Refuse no request with a promise that may have run

A caller got a 503 for a read that had been sent to a target, if the read waited in the queue for its next send (after a stall of the entry) when the entry stopped, or when no target was usable any more. Only requests that may be repeated wait after a send.

Whether a request may have run was asked at some of the places that refuse. It is asked in the one function that does, which fails the request instead.

Before, stop.feature, "A read that may have run and waits for its next send is not refused as not run": "503 !== 502". After: the 8 scenarios of stop.feature pass.

--- a/packages/gateway/features/stop.feature
+++ b/packages/gateway/features/stop.feature
@@ -51,3 +51,10 @@
     And an entry "e1"
     When a caller of "e1" pipelines a request and one whose chunks are malformed
     Then the caller got the answers 200 and 400
+
+  Scenario: A read that may have run and waits for its next send is not refused as not run
+    Given a target "t1" that closes without an answer
+    And a target "t2" that closes without an answer
+    And an entry "e1" with a retry budget
+    When "e1" stops while a read that was sent waits for its next send
+    Then the read is answered with 502
--- a/packages/gateway/features/stop_steps.ts
+++ b/packages/gateway/features/stop_steps.ts
@@ -4,7 +4,14 @@
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
 import { Before, Given, Then, When } from "@cucumber/cucumber";
-import { call, gatewayOf, pause, world } from "./support/scenario.ts";
+import { StallMonitor } from "@bamboolane/gateway/stall_monitor";
+import {
+  call,
+  gatewayOf,
+  lastReply,
+  pause,
+  world,
+} from "./support/scenario.ts";
 
 const REQUEST_HEAD = "GET /read/x HTTP/1.1\r\nHost: test.example\r\n" +
   "Test-Deadline: 1500\r\nTest-Request: ";
@@ -173,3 +180,25 @@
     assert.deepEqual(cutOff, [], `of ${openCallers.length} callers`);
   },
 );
+
+When(
+  "{string} stops while a read that was sent waits for its next send",
+  async (entry: string) => {
+    const { isCatchingUp } = StallMonitor.prototype;
+    // After a stall, requests wait until their callers' closes have been read.
+    StallMonitor.prototype.isCatchingUp = () => true;
+    try {
+      const reply = call(entry, "/read/x");
+      await pause(100);
+      assert.equal(world.system.receivedCount, 1);
+      await gatewayOf(entry).stop();
+      world.replies.push(await reply);
+    } finally {
+      StallMonitor.prototype.isCatchingUp = isCatchingUp;
+    }
+  },
+);
+
+Then("the read is answered with {int}", (status: number) => {
+  assert.equal(lastReply().status, status);
+});
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -188,9 +188,7 @@
     for (const request of [...this.#active]) {
       const { abort } = request;
       this.#placer.serviceState(request.service).queue.remove(request);
-      if (request.possibleRuns > 0) {
-        this.#fail(request, { kind: "failed", reason: "stopping" });
-      } else this.#refuseStopping(request);
+      this.#refuseStopping(request);
       abort?.("stopping");
     }
   }
@@ -467,15 +465,13 @@
           request.triedTargets.delete(target.record.id);
         }
         if (this.#retry(request, end.kind)) return;
-        return request.possibleRuns > 0
-          ? this.#fail(request, { kind: "failed", reason: end.kind })
-          : this.#refuse(request, {
-            reason: end.kind,
-            retryAfterMillis: this.#placer.retryAfterMillis(
-              request,
-              performance.now(),
-            ),
-          });
+        return this.#refuse(request, {
+          reason: end.kind,
+          retryAfterMillis: this.#placer.retryAfterMillis(
+            request,
+            performance.now(),
+          ),
+        });
       case "lost":
         if (this.#retry(request, end.reason)) return;
         return this.#fail(request, { kind: "failed", reason: end.reason });
@@ -585,15 +581,13 @@
         request.possibleRuns--;
         request.arrivals--;
         if (this.#retry(request, `entry-${end.kind}`)) return;
-        return request.possibleRuns > 0
-          ? this.#fail(request, { kind: "failed", reason: end.kind })
-          : this.#refuse(request, {
-            reason: `entry-${end.kind}`,
-            peer: peer.id,
-            retryAfterMillis:
-              (end.kind === "not-run" ? end.retryAfterMillis : undefined) ??
-                this.#placer.retryAfterMillis(request, performance.now()),
-          });
+        return this.#refuse(request, {
+          reason: `entry-${end.kind}`,
+          peer: peer.id,
+          retryAfterMillis:
+            (end.kind === "not-run" ? end.retryAfterMillis : undefined) ??
+              this.#placer.retryAfterMillis(request, performance.now()),
+        });
       case "lost":
         if (end.reason === "entry-expired") {
           return this.#fail(request, { kind: "expired" });
@@ -646,10 +640,14 @@
     this.#dispatchQueue(request.service);
   }
 
+  /** Refuses a request with a promise; one that may have run fails instead. */
   #refuse(
     request: GatewayRequest,
     options: OutcomeDetails & { reason: string; retryAfterMillis: number },
   ): void {
+    if (request.possibleRuns > 0) {
+      return this.#fail(request, { kind: "failed", reason: options.reason });
+    }
     this.#finish(request, "refused", options);
     request.sink.answerLocally({
       kind: "refused",
