Bound the answers that wait for a pipelining caller

An entry exceeded its memory, which ends it, while callers had many pipelined requests under way, or pipelined them and read slowly.

Cause: Node.js stops reading from a caller that doesn't take its answers, but all requests of what was read before ran at once, some hundred of a connection. Each answer was held until those before it were taken, and nothing bounded them together.

Of the requests of one connection, 16 now run at the same time. The others wait in their order, so their time is spent in the entry instead of at a target.

Before: "40" requests were begun in gateway.feature where at most 16 are allowed.

--- a/packages/gateway/features/body_steps.ts
+++ b/packages/gateway/features/body_steps.ts
@@ -1,5 +1,5 @@
 /**
- * Steps for requests with large bodies.
+ * Steps for the memory that requests and answers take.
  */
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
@@ -17,7 +17,7 @@
   send,
   statusOf,
 } from "./support/raw_caller.ts";
-import { world } from "./support/scenario.ts";
+import { pause, world } from "./support/scenario.ts";
 import { testConfig, until } from "./support/test_gateway.ts";
 
 const BYTES_PER_KILOBYTE = 1000;
@@ -26,6 +26,7 @@
 
 let large: RawCaller[] = [];
 let small: RawCaller[] = [];
+let pipelining: RawCaller;
 
 Given("bodies of up to {int} kB are allowed", (kilobytes: number) => {
   const config = testConfig(REVISION);
@@ -124,3 +125,38 @@
     assert.ok(taken < maxKilobytes, `${Math.round(taken)} kB`);
   },
 );
+
+When(
+  "a caller of {string} pipelines {int} requests for {string}",
+  (entry: string, count: number, path: string) => {
+    pipelining = connectTo(entry);
+    for (let i = 0; i < count; i++) send(pipelining, path);
+  },
+);
+
+Then(
+  "at most {int} of them have run or were refused after {int} ms",
+  async (max: number, millis: number) => {
+    await pause(millis);
+    const begun = pipelining.sentIds.filter((id) =>
+      world.system.logText.includes(` request=${id} `)
+    );
+    assert.ok(begun.length > 0 && begun.length <= max, `${begun.length}`);
+  },
+);
+
+Then("all {int} are answered in their order", async (count: number) => {
+  const ids = () =>
+    answersOf(pipelining).flatMap((answer) =>
+      statusOf(answer) === 200
+        ? [/^test-request: (.*)\r$/im.exec(answer)?.[1]]
+        : []
+    );
+  await until(
+    () => answersOf(pipelining).length === count,
+    "each request has an answer",
+  );
+  assert.ok(ids().length > 0);
+  const known = pipelining.sentIds.filter((id) => ids().includes(id));
+  assert.deepEqual(ids(), known);
+});
--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -210,6 +210,13 @@
   Scenario: A body in chunks is not held twice while its answer is due
     Then a body of 4000 kB in chunks takes less than 6000 kB once it is read
 
+  Scenario: A caller that pipelines many requests has few answers in memory
+    Given a target "t1" that answers after 400 ms
+    And an entry "e1"
+    When a caller of "e1" pipelines 40 requests for "/batch/x"
+    Then at most 16 of them have run or were refused after 200 ms
+    And all 40 are answered in their order
+
   Scenario: A stop answers pipelined requests in progress and closes the connection after the last
     Given a target "t1" that answers after 400 ms
     And an entry "e1"
--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -7,6 +7,11 @@
 
 /** Maximum time until the first request on a new connection, or the rest of a request. */
 const REQUEST_ARRIVAL_MILLIS = 1000;
+/**
+ * Pipelined requests that run at the same time. Their answers wait in memory for those
+ * before them, also while the caller reads nothing.
+ */
+const MAX_CONCURRENT_REQUESTS = 16;
 /** How long a caller may take to close its side after the last answer. */
 const LINGER_MILLIS = 1000;
 
@@ -17,6 +22,10 @@
   readonly #socket: Socket;
   /** Called once for each answer that is complete, or can't be sent any more. */
   readonly #onSettled = new Map<ServerResponse, () => void>();
+  /** Answers of the requests that may run. */
+  readonly #running = new Set<ServerResponse>();
+  /** Answers of the requests that wait until others are answered, in their order. */
+  readonly #waiting = new Map<ServerResponse, () => void>();
   /** Bytes that were read up to the last request; undefined before the first one. */
   #requestBytes: number | undefined;
   /** Since when a request is on its way; undefined while none is. */
@@ -66,6 +75,24 @@
     else callback();
   }
 
+  /** Resolves once the request may run, or its answer can't be sent any more. */
+  takeTurn(response: ServerResponse): Promise<void> {
+    if (!this.pending.has(response)) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#waiting.set(response, resolve);
+      this.#startNext();
+    });
+  }
+
+  #startNext(): void {
+    const next = this.#waiting.entries().next().value;
+    if (!next || this.#running.size >= MAX_CONCURRENT_REQUESTS) return;
+    const [response, start] = next;
+    this.#waiting.delete(response);
+    this.#running.add(response);
+    start();
+  }
+
   /**
    * Closes the connection after an answer that announces it: the last pending one, or
    * that of the next request. Requests behind that one are not accepted: a caller that
@@ -132,6 +159,10 @@
     const callback = this.#onSettled.get(response);
     this.#onSettled.delete(response);
     callback?.();
+    this.#running.delete(response);
+    this.#waiting.get(response)?.();
+    this.#waiting.delete(response);
+    this.#startNext();
   }
 
   #recordRead(): void {
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -304,6 +304,7 @@
         result: bodyResult.kind,
       });
     }
+    await connection.takeTurn(response);
     // The caller may have disconnected without it being read yet: requests of new
     // connections wait while the process is short of time, and longer in a stall.
     if (stallMonitor.stalledRecently()) await catchUp();
