--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -30,7 +30,7 @@
  */
 const REDUCED_IDLE_PERIOD_MILLIS = 10_000;
 /**
- * How long after an answer too many a target's connections are closed once they carried
+ * How long after a surplus answer a target's connections are closed once they carried
  * a refusal, since copies of it may follow in place of later answers.
  */
 const SURPLUS_PERIOD_MILLIS = 10_000;
