Log memory before it is full

Cause: a heap that is full ends the process with SIGABRT, and the platform kills one that exceeds its memory, both without a line of the log. Only resident memory was exported, after 10 s, so that the hypotheses about ended processes could not be told apart.

Change: a monitor compares heap and resident memory with their limits four times a second and logs new peaks, and what is high; gauges for the heap and its limit.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -214,6 +214,10 @@
     When 1 callers of "e1" post bodies of 1000 kB to "/batch/x", and 0 callers bodies of 1 kB
     Then 1 of the large bodies is answered 200, and 0 are answered 503 with a Retry-After
 
+  Scenario: An entry that uses most of its memory says so before it ends
+    Given an entry "e1" with 4000 kB of memory
+    Then the log has a "memory_high"
+
   Scenario: A body in chunks is not held twice while its answer is due
     Then a body of 4000 kB in chunks takes less than 6000 kB once it is read
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -1,7 +1,6 @@
 /**
  * Starts the tasks of a gateway process and stops them gracefully.
  */
-import process from "node:process";
 import type { Server } from "node:http";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
@@ -17,6 +16,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GatewayState } from "./gateway_state.ts";
 import { listenWhenPossible } from "./listen.ts";
+import { MemoryMonitor } from "./memory_monitor.ts";
 import { PeerTask } from "./peer_task.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { StallMonitor } from "./stall_monitor.ts";
@@ -134,6 +134,12 @@
     servesEntries: true,
   });
   const callerServers = [callers, forwarded];
+  const memoryMonitor = new MemoryMonitor({
+    memoryBytes: settings.memoryBytes,
+    log,
+    metrics,
+    describe: () => ({ inFlight: runner.inFlight }),
+  });
   const stateTask = new StateTask({
     store,
     state,
@@ -300,7 +306,6 @@
       "bamboolane_live_instances",
       () => state.members.serving(performance.now()).length,
     );
-    metrics.gauge("bamboolane_resident_bytes", () => process.memoryUsage.rss());
   }
 
   async function stopGracefully(): Promise<void> {
@@ -362,6 +367,7 @@
     stateTask.stop();
     peers.stop();
     stallMonitor.stop();
+    memoryMonitor.stop();
     runner.stop();
     for (const server of callerServers) server.close();
     for (const server of servers) server.close();
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -61,6 +61,8 @@
   bamboolane_unreachable_targets:
     "Targets that this instance can't connect to.",
   bamboolane_resident_bytes: "Resident memory of the process.",
+  bamboolane_heap_bytes: "Heap of V8 in use, with garbage.",
+  bamboolane_heap_limit_bytes: "Heap of V8 at which the process ends.",
 } as const;
 
 /** Name of a counter. */
