--- a/packages/steering/src/object_homes.ts
+++ b/packages/steering/src/object_homes.ts
@@ -16,14 +16,23 @@
 
 const distanceCache = new Map<string, number>();
 /** Maximum number of cached object and target pairs; each takes about 100 bytes. */
-const MAX_CACHED_DISTANCES = 100_000;
+const MAX_CACHED_DISTANCES = 50_000;
+/** Maximum length of all their names together. */
+const MAX_CACHED_CHARACTERS = 2_000_000;
+let cachedCharacters = 0;
 
 /** Exponentially distributed hash distance, the same in every process. */
 function distance(object: string, target: string): number {
   const key = `${object}/${target}`;
   const known = distanceCache.get(key);
   if (known !== undefined) return known;
-  if (distanceCache.size >= MAX_CACHED_DISTANCES) distanceCache.clear();
+  const isFull = distanceCache.size >= MAX_CACHED_DISTANCES ||
+    cachedCharacters + key.length > MAX_CACHED_CHARACTERS;
+  if (isFull) {
+    distanceCache.clear();
+    cachedCharacters = 0;
+  }
+  cachedCharacters += key.length;
   const value = -Math.log(1 - hashToUnitInterval(key));
   distanceCache.set(key, value);
   return value;
