Bound what the clients of the directory, readiness and state servers hold together

Cause: these servers took any number of connections, waited 60 s for a head of up to 16 KB, read all requests of a chunk at once, however many answers were open, and serialized the whole state for each reader.

A head has 8 KB at most, a request and an unread answer 5 s; a connection that waits for 16 answers and asks for more is closed. Entries that know the same share one serialized answer; while 16 MB of answers are being read, a further one is refused with 503, and the entry asks again later.

--- /dev/null
+++ b/packages/gateway/features/held_memory.feature
@@ -0,0 +1,46 @@
+Feature: What an entry holds for others is bounded for the process
+
+  Scenario Outline: Clients that pipeline and read nothing make the <server> hold little
+    Given an open <server> server with a state of 1 MB
+    When 30 clients send it 600 KB of requests each and read nothing
+    Then less than 24 MB are held for its clients
+    And the <server> server answers within 1 s
+
+    Examples:
+      | server    |
+      | directory |
+      | readiness |
+      | state     |
+
+  Scenario Outline: Clients that never end a request don't take all connections of the <server>
+    Given an open <server> server with a state of 1 MB
+    When 700 clients send it a part of a request each
+    Then it has <connections> connections at most
+    And the log says that connections of the <server> were closed
+    And the <server> server answers within 1 s
+
+    Examples:
+      | server    | connections |
+      | directory | 512         |
+      | readiness | 64          |
+      | state     | 640         |
+
+  Scenario: A part of a request is not waited for without end
+    Given an open directory server with a state of 1 MB
+    When 10 clients send it a part of a request each
+    Then it has 0 connections at most after 7 s
+
+  Scenario: Entries that know the same and read slowly share one answer
+    Given an open state server with a state of 12 MB
+    When 30 entries that know the same fetch the state and read nothing
+    Then less than 20 MB are held for its clients
+    And the state server answers within 1 s
+
+  Scenario: Entries that read slowly, and each know something else, are refused beyond a bound
+    Given an open state server with a state of 12 MB
+    When 30 entries that each know something else fetch the state and read nothing
+    Then less than 40 MB are held for its clients
+    And another entry that knows something else is answered 503
+    When those entries are gone
+    Then the state server answers within 1 s
+    And less than 20 MB are held for its clients
--- /dev/null
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -0,0 +1,286 @@
+/**
+ * Steps for what an entry holds for its clients and for other processes.
+ */
+import assert from "node:assert/strict";
+import type { Server } from "node:http";
+import { connect, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { request } from "undici";
+import {
+  createLogger,
+  createNoopLogger,
+  type EventLog,
+} from "@bamboolane/logger/create_logger";
+import {
+  serveDirectory,
+  serveReadiness,
+  serveState,
+  STATE_PATH,
+} from "@bamboolane/gateway/directory_server";
+import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
+import { GatewayState } from "@bamboolane/gateway/gateway_state";
+import { StateTable } from "@bamboolane/gateway/state_store";
+import type {
+  EntryRecord,
+  StateRow,
+} from "@bamboolane/steering/steering_config";
+import { liveBytes } from "@bamboolane/test-utils/live_heap";
+import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
+import { pause } from "./support/scenario.ts";
+import { testDialect, until } from "./support/test_gateway.ts";
+
+type ServerName = "directory" | "readiness" | "state";
+
+const PATHS: Record<ServerName, string> = {
+  directory: `${testDialect.directoryPath}?region=a&place=a1`,
+  readiness: testDialect.readinessPath,
+  state: `${STATE_PATH}?operator=0&targets=0`,
+};
+const SETTINGS: GatewaySettings = {
+  instance: { id: "e0", dataCentre: "a1", region: "a" },
+  listen: {
+    callers: "",
+    readiness: "",
+    directory: "",
+    state: "",
+    peers: "",
+    metrics: "",
+  },
+  storeAddress: "",
+  seeds: [],
+  dataCentres: { a1: "a" },
+  graceMillis: 1000,
+  lookupTtlMillis: 1000,
+  retryBudget: { ratio: 0, allowance: 0, windowMillis: 1000 },
+  log: { level: "error" },
+};
+/** Size of one target's row in an answer. */
+const ROW_BYTES = 1000;
+const STEP_TIMEOUT_MILLIS = 30_000;
+/** Time in which the server has read what the clients sent. */
+const READ_MILLIS = 500;
+
+let server: Server | undefined;
+let serverName: ServerName = "directory";
+let address = "";
+let clients: Socket[] = [];
+let beforeBytes = 0;
+let logText = "";
+
+function createLog(): EventLog {
+  logText = "";
+  return createLogger({ level: "info", write: (text) => logText += text });
+}
+
+function targetRow(index: number): StateRow {
+  const id = `i-${index}`;
+  return {
+    kind: "target",
+    id,
+    version: index + 1,
+    record: {
+      id,
+      service: "s".repeat(ROW_BYTES - 200),
+      address: "10.0.0.1:80",
+      dataCentre: "a1",
+      slots: 1,
+      draining: false,
+      warmupLeftMillis: 0,
+      bornMillis: 0,
+      sequence: 0,
+    },
+  };
+}
+
+/** Entries as a directory lists them; an answer names 64 of them. */
+const LISTED = Array.from({ length: 64 }, (_, index): EntryRecord => ({
+  id: `e${index}`,
+  incarnation: 1,
+  dataCentre: "a1",
+  region: "a",
+  callerAddress: `10.0.0.${index}:8000`,
+  peerAddress: `10.0.0.${index}:8001`,
+  stateAddress: `10.0.0.${index}:8002`,
+}));
+
+After(() => {
+  for (const client of clients) client.destroy();
+  clients = [];
+  server?.closeAllConnections();
+  server?.close();
+  server = undefined;
+});
+
+Given(
+  "an open {word} server with a state of {int} MB",
+  async (name: ServerName, megabytes: number) => {
+    const log = createLog();
+    const state = new GatewayState(SETTINGS, createNoopLogger());
+    serverName = name;
+    const rows = Array.from(
+      { length: megabytes * 1e6 / ROW_BYTES },
+      (_, index) => targetRow(index),
+    );
+    state.applySnapshot(StateTable.targets, rows, {
+      version: rows.length,
+      nowMillis: 0,
+    });
+    address = reserveAddress();
+    const options = {
+      log,
+      state,
+      dialect: testDialect,
+      ttlMillis: 1000,
+      isReady: () => true,
+      liveEntries: () => LISTED,
+    };
+    switch (name) {
+      case "directory":
+        server = await serveDirectory(address, options);
+        break;
+      case "readiness":
+        server = await serveReadiness(address, options);
+        break;
+      case "state":
+        server = await serveState(address, options);
+    }
+    beforeBytes = liveBytes();
+  },
+);
+
+async function openClient(bytes: Buffer): Promise<void> {
+  const [host, port] = address.split(":");
+  const client = connect({ host, port: Number(port) });
+  client.on("error", () => {});
+  // A client that reads nothing.
+  client.pause();
+  await new Promise((resolve) => {
+    client.once("connect", resolve).once("close", resolve);
+  });
+  client.write(bytes);
+  clients.push(client);
+}
+
+function formatRequest(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: test.example\r\n\r\n`;
+}
+
+When(
+  "{int} clients send it {int} KB of requests each and read nothing",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  async (count: number, kilobytes: number) => {
+    const text = formatRequest(PATHS[serverName]);
+    const bytes = Buffer.from(
+      text.repeat(Math.floor(kilobytes * 1024 / text.length)),
+    );
+    for (let i = 0; i < count; i++) await openClient(bytes);
+    await pause(READ_MILLIS);
+  },
+);
+
+When(
+  "{int} clients send it a part of a request each",
+  async (count: number) => {
+    const bytes = Buffer.from(
+      `GET ${PATHS[serverName]} HTTP/1.1\r\nfield: ${"x".repeat(7000)}`,
+    );
+    for (let i = 0; i < count; i++) await openClient(bytes);
+    await pause(READ_MILLIS);
+  },
+);
+
+When(
+  "{int} entries that know the same fetch the state and read nothing",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  async (count: number) => {
+    const bytes = Buffer.from(formatRequest(PATHS.state));
+    for (let i = 0; i < count; i++) await openClient(bytes);
+    await pause(READ_MILLIS);
+  },
+);
+
+When(
+  "{int} entries that each know something else fetch the state and read nothing",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  async (count: number) => {
+    for (let i = 0; i < count; i++) {
+      await openClient(Buffer.from(formatRequest(pathOfKnowing(i))));
+    }
+    await pause(READ_MILLIS);
+  },
+);
+
+/** Path for an entry that has all rows but the configuration of `revision`. */
+function pathOfKnowing(revision: number): string {
+  return `${PATHS.state}&revision=${revision}`;
+}
+
+When("those entries are gone", async () => {
+  for (const client of clients) client.destroy();
+  clients = [];
+  await until(async () => await countConnections() === 0, "all are gone");
+});
+
+Then("less than {int} MB are held for its clients", (megabytes: number) => {
+  const heldBytes = liveBytes() - beforeBytes;
+  assert.ok(
+    heldBytes < megabytes * 1e6,
+    `${(heldBytes / 1e6).toFixed(1)} MB are held`,
+  );
+});
+
+async function fetchStatus(path: string): Promise<number> {
+  const reply = await request(`http://${address}${path}`, {
+    headers: { connection: "close" },
+  });
+  await reply.body.dump({ limit: Infinity });
+  return reply.statusCode;
+}
+
+Then(
+  "the {word} server answers within {int} s",
+  async (name: ServerName, seconds: number) => {
+    const startMillis = performance.now();
+    assert.equal(await fetchStatus(PATHS[name]), 200);
+    assert.ok(performance.now() - startMillis < seconds * 1000);
+  },
+);
+
+Then(
+  "another entry that knows something else is answered {int}",
+  async (status: number) => {
+    assert.equal(await fetchStatus(pathOfKnowing(-1)), status);
+  },
+);
+
+function countConnections(): Promise<number> {
+  return new Promise((resolve, reject) =>
+    server?.getConnections((error, count) =>
+      error ? reject(error) : resolve(count)
+    )
+  );
+}
+
+Then("it has {int} connections at most", async (max: number) => {
+  const count = await countConnections();
+  assert.ok(count <= max, `${count} connections`);
+});
+
+Then(
+  "it has {int} connections at most after {int} s",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  async (max: number, seconds: number) => {
+    await pause(seconds * 1000);
+    const count = await countConnections();
+    assert.ok(count <= max, `${count} connections`);
+  },
+);
+
+Then(
+  "the log says that connections of the {word} were closed",
+  async (name: ServerName) => {
+    await pause(100);
+    assert.match(logText, /event=connections_closed/);
+    assert.ok(logText.includes(`listener=${name} `), logText);
+  },
+);
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -2,17 +2,25 @@
  * HTTP servers besides the one for callers: the directory of entries, the
  * readiness check, and the state for the other entries.
  */
-import { createServer, type Server, type ServerResponse } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import { selectEntries } from "@bamboolane/steering/select_entries";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import { createBoundedServer } from "./bounded_server.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import { listen } from "./listen.ts";
+import { StateAnswers } from "./state_answers.ts";
 
 /** Path at which other entries read this one's state. */
 export const STATE_PATH = "/v1/state";
 
+/** Callers look up entries every few seconds, for a moment each time. */
+const MAX_DIRECTORY_CONNECTIONS = 512;
+const MAX_READINESS_CONNECTIONS = 64;
+/** After an outage of the store, all entries of the fleet may fetch at the same time. */
+const MAX_STATE_CONNECTIONS = 640;
+
 /** Options of {@link serveDirectory}. */
 export interface DirectoryOptions {
   log: EventLog;
@@ -28,7 +36,7 @@
 function writeJson(
   response: ServerResponse,
   status: number,
-  body: string,
+  body: string | Buffer,
 ): void {
   response.writeHead(status, {
     "content-type": "application/json",
@@ -42,8 +50,12 @@
   address: string,
   options: DirectoryOptions,
 ): Promise<Server> {
-  const { dialect } = options;
-  const server = createServer((request, response) => {
+  const { dialect, log } = options;
+  const server = createBoundedServer({
+    name: "directory",
+    maxConnections: MAX_DIRECTORY_CONNECTIONS,
+    log,
+  }, (request, response) => {
     const [path, query] = (request.url ?? "/").split("?", 2);
     if (path !== dialect.directoryPath) return writeJson(response, 404, "{}");
     const location = dialect.parseLocation(new URLSearchParams(query));
@@ -64,7 +76,11 @@
   address: string,
   options: Pick<DirectoryOptions, "log" | "dialect" | "isReady">,
 ): Promise<Server> {
-  const server = createServer((request, response) => {
+  const server = createBoundedServer({
+    name: "readiness",
+    maxConnections: MAX_READINESS_CONNECTIONS,
+    log: options.log,
+  }, (request, response) => {
     const known = request.url === options.dialect.readinessPath;
     const status = !known ? 404 : options.isReady() ? 200 : 503;
     writeJson(response, status, "{}");
@@ -78,7 +94,12 @@
   address: string,
   options: Pick<DirectoryOptions, "log" | "state">,
 ): Promise<Server> {
-  const server = createServer((request, response) => {
+  const answers = new StateAnswers(options.state.latestRows);
+  const server = createBoundedServer({
+    name: "state",
+    maxConnections: MAX_STATE_CONNECTIONS,
+    log: options.log,
+  }, (request, response) => {
     const [path, query] = (request.url ?? "/").split("?", 2);
     if (path !== STATE_PATH) return writeJson(response, 404, "{}");
     const parameters = new URLSearchParams(query);
@@ -87,11 +108,13 @@
       Number(parameters.get("targets") ?? 0),
     ] as const;
     // Entries of an older build send no revision.
-    const delta = options.state.latestRows.changesSince(
+    const answer = answers.take(
       versions,
       Number(parameters.get("revision") ?? Infinity),
     );
-    writeJson(response, 200, JSON.stringify(delta));
+    if (answer === undefined) return writeJson(response, 503, "{}");
+    writeJson(response, 200, answer.body);
+    return answer.release;
   });
   await listen(server, address, options);
   return server;
--- a/packages/gateway/src/latest_rows.ts
+++ b/packages/gateway/src/latest_rows.ts
@@ -51,6 +51,13 @@
   /** Versions up to which all changes are known, besides those of the rows. */
   #completeTo: RowVersions = [0, 0];
 
+  #generation = 0;
+
+  /** Increases with each change of what {@link LatestRows.changesSince} returns. */
+  get generation(): number {
+    return this.#generation;
+  }
+
   /** Newest versions of the rows; other entries that know older ones are behind. */
   get versions(): RowVersions {
     return [this.#operator, this.#targets];
@@ -63,12 +70,16 @@
 
   /** Records that all changes up to `versions` are known. */
   recordComplete(versions: RowVersions): void {
+    const [operator, targets] = this.#completeTo;
+    if (versions[0] <= operator && versions[1] <= targets) return;
+    this.#generation++;
     this.#completeTo = maxVersions(this.#completeTo, versions);
   }
 
   /** Records that the rows came from a snapshot, which lists no removals. */
   recordSnapshot(versions: RowVersions): void {
     this.recordComplete(versions);
+    this.#generation++;
     this.#removalsMissingBefore = maxVersions(
       this.#removalsMissingBefore,
       versions,
@@ -78,6 +89,7 @@
   /** Stores a row, which replaces its predecessor. */
   set(row: StateRow, nowMillis: number): void {
     const removed = row.kind === "target" && row.record === undefined;
+    this.#generation++;
     this.#rows.set(keyOf(row), {
       row,
       discardAtMillis: removed
@@ -120,6 +132,7 @@
     for (const [key, { row, discardAtMillis }] of this.#rows) {
       if (nowMillis < discardAtMillis) continue;
       this.#rows.delete(key);
+      this.#generation++;
       this.#removalsMissingBefore = maxVersions(this.#removalsMissingBefore, [
         0,
         row.version,
