--- a/packages/gateway/src/state_store.ts
+++ b/packages/gateway/src/state_store.ts
@@ -50,10 +50,11 @@
 
 /**
  * A call that got no answer or was refused: `busy` if the store can't serve it
- * at present, `refused` for any other reason.
+ * at present, `oversized` if what it sends exceeds the memory for it, `refused` for any
+ * other reason.
  */
 export class StoreError extends Error {
-  readonly reason: "unreachable" | "timeout" | "busy" | "refused";
+  readonly reason: "unreachable" | "timeout" | "busy" | "oversized" | "refused";
 
   constructor(reason: StoreError["reason"], message: string) {
     super(message);
