Bound what a process holds of other entries' state answers

Cause: an answer was read to its end or its timeout, and an entry without state asks all others of the fleet at the same time.

Change: the answers that are being read take 8 MB together. The one that would exceed that fails with a borrow_failed that says so, and the entry asks again later.

Scenario 'State answers that are read at the same time are bounded together' of packages/gateway/features/held_memory.feature failed before: of 20 answers of 1 MB more than 8 were held at the same time.

--- a/packages/gateway/features/held_memory.feature
+++ b/packages/gateway/features/held_memory.feature
@@ -44,3 +44,10 @@
     When those entries are gone
     Then the state server answers within 1 s
     And less than 20 MB are held for its clients
+
+  Scenario: State answers that are read at the same time are bounded together
+    Given an entry that sends a state of 1 MB, but for the last byte while 8 fetches go on
+    When 20 fetches from it run at the same time
+    Then 8 of them succeed at most
+    And each of the others logs why it failed
+    And a later fetch from it succeeds
--- a/packages/gateway/features/held_memory_steps.ts
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -2,7 +2,7 @@
  * Steps for what an entry holds for its clients and for other processes.
  */
 import assert from "node:assert/strict";
-import type { Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { request } from "undici";
@@ -17,7 +17,13 @@
   serveState,
   STATE_PATH,
 } from "@bamboolane/gateway/directory_server";
+import {
+  fetchPeerState,
+  PeerAnswerMemory,
+} from "@bamboolane/gateway/fetch_peer_state";
+import type { RowDelta } from "@bamboolane/gateway/latest_rows";
 import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
+import { listen } from "@bamboolane/gateway/listen";
 import { GatewayState } from "@bamboolane/gateway/gateway_state";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import type {
@@ -115,16 +121,8 @@
   "an open {word} server with a state of {int} MB",
   async (name: ServerName, megabytes: number) => {
     const log = createLog();
-    const state = new GatewayState(SETTINGS, createNoopLogger());
+    const state = createState(megabytes);
     serverName = name;
-    const rows = Array.from(
-      { length: megabytes * 1e6 / ROW_BYTES },
-      (_, index) => targetRow(index),
-    );
-    state.applySnapshot(StateTable.targets, rows, {
-      version: rows.length,
-      nowMillis: 0,
-    });
     address = reserveAddress();
     const options = {
       log,
@@ -284,3 +282,75 @@
     assert.ok(logText.includes(`listener=${name} `), logText);
   },
 );
+
+/** Less than the time for which a fetch goes on. */
+const LAST_BYTE_MILLIS = 450;
+
+let fetchLog: EventLog = createNoopLogger();
+let fetched: (RowDelta | undefined)[] = [];
+const answerMemory = new PeerAnswerMemory();
+
+function createState(megabytes: number): GatewayState {
+  const state = new GatewayState(SETTINGS, createNoopLogger());
+  const rows = Array.from(
+    { length: megabytes * 1e6 / ROW_BYTES },
+    (_, index) => targetRow(index),
+  );
+  state.applySnapshot(StateTable.targets, rows, {
+    version: rows.length,
+    nowMillis: 0,
+  });
+  return state;
+}
+
+Given(
+  "an entry that sends a state of {int} MB, but for the last byte while {int} fetches go on",
+  async (megabytes: number, max: number) => {
+    const { latestRows } = createState(megabytes);
+    const body = Buffer.from(JSON.stringify(latestRows.changesSince([0, 0])));
+    let open = 0;
+    server = createServer(async (_request, response) => {
+      const endMillis = performance.now() + LAST_BYTE_MILLIS;
+      open++;
+      response.once("close", () => open--);
+      response.write(body.subarray(0, -1));
+      await pause(LAST_BYTE_MILLIS / 4);
+      while (open > max && performance.now() < endMillis) await pause(5);
+      response.end(body.subarray(-1));
+    });
+    address = reserveAddress();
+    await listen(server, address, { log: createNoopLogger() });
+  },
+);
+
+function fetchState(): Promise<RowDelta | undefined> {
+  return fetchPeerState(address, {
+    completeTo: [0, 0],
+    revision: 0,
+    memory: answerMemory,
+    log: fetchLog,
+  });
+}
+
+When("{int} fetches from it run at the same time", async (count: number) => {
+  fetchLog = createLog();
+  fetched = await Promise.all(Array.from({ length: count }, fetchState));
+});
+
+function countFetched(): number {
+  return fetched.filter((delta) => delta !== undefined).length;
+}
+
+Then("{int} of them succeed at most", (max: number) => {
+  assert.ok(countFetched() <= max, `${countFetched()} succeeded`);
+});
+
+Then("each of the others logs why it failed", () => {
+  fetchLog.flush();
+  const failures = logText.match(/event=borrow_failed .*with other answers/g);
+  assert.equal(failures?.length, fetched.length - countFetched());
+});
+
+Then("a later fetch from it succeeds", async () => {
+  assert.ok((await fetchState())?.whole);
+});
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -10,7 +10,7 @@
   isStoreFollower,
 } from "@bamboolane/steering/elect_entries";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { fetchPeerState } from "./fetch_peer_state.ts";
+import { fetchPeerState, PeerAnswerMemory } from "./fetch_peer_state.ts";
 import { TableFollower } from "./table_follower.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import type { KnownState, RowDelta } from "./latest_rows.ts";
@@ -55,6 +55,7 @@
 /** Task that owns the table followers. */
 export class StateTask {
   readonly #options: StateTaskOptions;
+  readonly #answerMemory = new PeerAnswerMemory();
   readonly #operatorFollower: TableFollower;
   readonly #targetsFollower: TableFollower;
   /** When a peer was first seen to have newer rows, since rows were last applied. */
@@ -234,6 +235,7 @@
     const delta = await fetchPeerState(address, {
       completeTo: state.latestRows.completeTo,
       revision: state.config?.revision ?? 0,
+      memory: this.#answerMemory,
       log,
     });
     this.#fetching = false;
