Bound the lines that wait in the log by their length

Cause: up to 512 lines waited for a write, of any length; ids of requests, which callers choose, may have 16 KB. A batch of more than 1 MB didn't fit into the output's queue either, so that all its lines were dropped.

Change: a value of more than 4,096 characters is shortened and says how long it was; lines are written once 64 K characters wait.

The two new scenarios of packages/logger/features/bounded_output.feature failed before.

--- a/packages/logger/src/create_logger.ts
+++ b/packages/logger/src/create_logger.ts
@@ -39,13 +39,23 @@
 
 const FLUSH_DELAY_MILLIS = 50;
 const MAX_BUFFERED_LINES = 512;
+/** Length of the buffered lines from which they are written at once. */
+const MAX_BUFFERED_CHARACTERS = 65_536;
+/** Length from which a value is shortened; stacks have less, ids of callers may have more. */
+const MAX_VALUE_CHARACTERS = 4096;
+
+function shorten(text: string): string {
+  return text.length > MAX_VALUE_CHARACTERS
+    ? `${text.slice(0, MAX_VALUE_CHARACTERS)}... (${text.length} characters)`
+    : text;
+}
 
 function formatValue(value: LogValue): string {
-  const text = String(value);
+  const text = shorten(String(value));
   return /[\s"=]/.test(text) || text === "" ? JSON.stringify(text) : text;
 }
 
-/** Formats one line without its newline. */
+/** Formats one line without its newline; long values are shortened and say so. */
 export function formatLine(
   level: string,
   event: string,
@@ -69,6 +79,7 @@
 
 class BufferedSink {
   #lines: string[] = [];
+  #characters = 0;
   #timer: NodeJS.Timeout | undefined;
   readonly #write: (text: string) => void;
 
@@ -78,7 +89,10 @@
 
   add(line: string): void {
     this.#lines.push(line);
-    if (this.#lines.length >= MAX_BUFFERED_LINES) return this.flush();
+    this.#characters += line.length;
+    const isFull = this.#lines.length >= MAX_BUFFERED_LINES ||
+      this.#characters >= MAX_BUFFERED_CHARACTERS;
+    if (isFull) return this.flush();
     if (this.#timer !== undefined) return;
     this.#timer = setTimeout(() => this.flush(), FLUSH_DELAY_MILLIS);
     this.#timer.unref();
@@ -90,6 +104,7 @@
     if (this.#lines.length === 0) return;
     const text = this.#lines.join("\n") + "\n";
     this.#lines = [];
+    this.#characters = 0;
     this.#write(text);
   }
 }
