Bound what a process keeps of other entries' datagrams

Cause: entries, requests in flight, shares and crashes were kept by what a datagram names, of any length and number; silent entries stayed until the next read of their table, shares until someone asked for them. All digests that had arrived were forwarded in one heartbeat; beyond 64 KB, as with 88 digests of 2 KB, it could not be sent.

A heartbeat forwards 32 KB of digests; the others go with the next ones.

--- a/packages/gateway/features/held_memory.feature
+++ b/packages/gateway/features/held_memory.feature
@@ -51,3 +51,30 @@
     Then 8 of them succeed at most
     And each of the others logs why it failed
     And a later fetch from it succeeds
+
+  Scenario: Heartbeats of ever new entries hold little
+    Given an entry that knows the entries "e1" and "e2" from the store
+    When 50000 other entries send it a heartbeat each, 10 per ms
+    Then less than 8 MB are held for those others
+    And heartbeats of "e1" and "e2" still count
+
+  Scenario: Reports of many targets and services hold little
+    Given an entry that knows the entries "e1" and "e2" from the store
+    When 500 other entries report 2000 targets and 500 services each
+    Then less than 16 MB are held for those others
+    And heartbeats of "e1" and "e2" still count
+
+  Scenario: Suspects of other entries hold little
+    When other entries report 1000 requests that crashed 200 targets each
+    Then less than 4 MB are held for those others
+    And each of these requests is held back
+
+  Scenario: A long name in a datagram is refused
+    Then a heartbeat that names a target with 5000 characters can't be read
+    And a heartbeat that names a fingerprint with 5000 characters can't be read
+    And a heartbeat from an entry with an id of 5000 characters can't be read
+
+  Scenario: The digests of many data centres reach the entries of another one
+    Given an entry that relays digests to a local peer
+    When it gets digests of 2 KB from 88 data centres at the same time
+    Then the local peer gets all of them within 3 s
--- a/packages/gateway/features/held_memory_steps.ts
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -2,6 +2,7 @@
  * Steps for what an entry holds for its clients and for other processes.
  */
 import assert from "node:assert/strict";
+import { createSocket, type Socket as DatagramSocket } from "node:dgram";
 import { createServer, type Server } from "node:http";
 import { connect, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
@@ -25,6 +26,16 @@
 import type { GatewaySettings } from "@bamboolane/gateway/gateway_settings";
 import { listen } from "@bamboolane/gateway/listen";
 import { GatewayState } from "@bamboolane/gateway/gateway_state";
+import {
+  decodeMessage,
+  type Digest,
+  encodeMessage,
+  type Heartbeat,
+} from "@bamboolane/gateway/peer_messages";
+import { PeerTask } from "@bamboolane/gateway/peer_task";
+import { CrashTracker } from "@bamboolane/route/crash_tracker";
+import { MemberView } from "@bamboolane/steering/member_view";
+import { PeerShares } from "@bamboolane/steering/peer_shares";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import type {
   EntryRecord,
@@ -33,7 +44,7 @@
 import { liveBytes } from "@bamboolane/test-utils/live_heap";
 import { reserveAddress } from "@bamboolane/test-utils/loopback_address";
 import { pause } from "./support/scenario.ts";
-import { testDialect, until } from "./support/test_gateway.ts";
+import { testDialect, until, untilWithin } from "./support/test_gateway.ts";
 
 type ServerName = "directory" | "readiness" | "state";
 
@@ -354,3 +365,235 @@
 Then("a later fetch from it succeeds", async () => {
   assert.ok((await fetchState())?.whole);
 });
+
+function createRecord(id: string, dataCentre = "a1"): EntryRecord {
+  return {
+    id,
+    incarnation: 1,
+    dataCentre,
+    region: "a",
+    callerAddress: "10.0.0.1:1",
+    peerAddress: "10.0.0.1:2",
+    stateAddress: "10.0.0.1:3",
+  };
+}
+
+const SERVING = { serving: true, reachesStore: true };
+
+let members = new MemberView();
+let shares = new PeerShares();
+let crashes: CrashTracker;
+let nowMillis = 0;
+let heldBytes = 0;
+
+Given(
+  "an entry that knows the entries {string} and {string} from the store",
+  (first: string, second: string) => {
+    members = new MemberView();
+    shares = new PeerShares();
+    members.apply(first, createRecord(first), 1);
+    members.apply(second, createRecord(second), 2);
+    nowMillis = 0;
+  },
+);
+
+When(
+  "{int} other entries send it a heartbeat each, {int} per ms",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  (count: number, perMilli: number) => {
+    const before = liveBytes();
+    for (let i = 0; i < count; i++) {
+      nowMillis = i / perMilli;
+      const inFlight = new Map([[`target-of-${i}`, 1]]);
+      const record = createRecord(`other-entry-${i}`);
+      members.applyHeartbeat(record, { ...SERVING, inFlight }, nowMillis);
+      const untilMillis = nowMillis + 1000;
+      shares.setShares(record.id, new Map([["s", 0.5]]), untilMillis);
+    }
+    heldBytes = liveBytes() - before;
+  },
+);
+
+When(
+  "{int} other entries report {int} targets and {int} services each",
+  { timeout: STEP_TIMEOUT_MILLIS },
+  (count: number, targets: number, services: number) => {
+    const before = liveBytes();
+    for (let i = 0; i < count; i++) {
+      const record = createRecord(`other-entry-${i}`);
+      const inFlight = new Map(
+        Array.from({ length: targets }, (_, t) => [`target-${i}-${t}`, 1]),
+      );
+      members.applyHeartbeat(record, { ...SERVING, inFlight }, nowMillis);
+      const reported = new Map(
+        Array.from({ length: services }, (_, s) => [`service-${i}-${s}`, 0.5]),
+      );
+      shares.setShares(record.id, reported, nowMillis + 1000);
+    }
+    heldBytes = liveBytes() - before;
+  },
+);
+
+Then(
+  "heartbeats of {string} and {string} still count",
+  (first: string, second: string) => {
+    for (const id of [first, second]) {
+      const record = { ...createRecord(id), incarnation: 2 };
+      const inFlight = new Map<string, number>();
+      members.applyHeartbeat(record, { ...SERVING, inFlight }, nowMillis);
+      assert.ok(members.isServing(id, nowMillis));
+    }
+    // Part of what is measured.
+    shares.setShares("e1", new Map([["s", 0.25]]), nowMillis + 5000);
+    assert.equal(shares.mean("s", nowMillis + 4000), 0.25);
+  },
+);
+
+When(
+  "other entries report {int} requests that crashed {int} targets each",
+  (count: number, targets: number) => {
+    const before = liveBytes();
+    crashes = new CrashTracker({
+      maxFingerprints: 1000,
+      retentionMillis: 60_000,
+    });
+    for (let i = 0; i < count; i++) {
+      crashes.merge({
+        fingerprint: `request-${i}`,
+        targets: Array.from({ length: targets }, (_, t) => `target-${i}-${t}`),
+      }, 0);
+    }
+    heldBytes = liveBytes() - before;
+  },
+);
+
+Then("each of these requests is held back", () => {
+  const suspects = crashes.listSuspects(0);
+  assert.equal(suspects.length, 1000);
+  for (const { fingerprint } of suspects) {
+    assert.ok(crashes.isHeldBack(fingerprint, 0));
+  }
+});
+
+Then("less than {int} MB are held for those others", (megabytes: number) => {
+  assert.ok(
+    heldBytes < megabytes * 1e6,
+    `${(heldBytes / 1e6).toFixed(1)} MB are held`,
+  );
+});
+
+function createHeartbeat(changes: Partial<Heartbeat>): Heartbeat {
+  return {
+    kind: "heartbeat",
+    entry: createRecord("e1"),
+    ...SERVING,
+    versions: [0, 0],
+    inFlight: {},
+    shares: {},
+    suspects: [],
+    digests: [],
+    ...changes,
+  };
+}
+
+function assertUnreadable(changes: Partial<Heartbeat>): void {
+  decodeMessage(encodeMessage(createHeartbeat({})));
+  const bytes = encodeMessage(createHeartbeat(changes));
+  assert.throws(() => decodeMessage(bytes));
+}
+
+Then(
+  "a heartbeat that names a target with {int} characters can't be read",
+  (length: number) => {
+    assertUnreadable({ inFlight: { ["t".repeat(length)]: 1 } });
+  },
+);
+
+Then(
+  "a heartbeat that names a fingerprint with {int} characters can't be read",
+  (length: number) => {
+    const fingerprint = "f".repeat(length);
+    assertUnreadable({ suspects: [{ fingerprint, targets: ["t"] }] });
+  },
+);
+
+Then(
+  "a heartbeat from an entry with an id of {int} characters can't be read",
+  (length: number) =>
+    assertUnreadable({ entry: createRecord("e".repeat(length)) }),
+);
+
+let peerTask: PeerTask | undefined;
+let localPeer: DatagramSocket | undefined;
+let relayAddress = "";
+const relayed = new Set<string>();
+
+After(() => {
+  peerTask?.stop();
+  localPeer?.close();
+  peerTask = undefined;
+  localPeer = undefined;
+});
+
+Given("an entry that relays digests to a local peer", async () => {
+  const state = new GatewayState(SETTINGS, createNoopLogger());
+  relayAddress = reserveAddress();
+  const peerAddress = reserveAddress();
+  const self = { ...createRecord("e0"), peerAddress: relayAddress };
+  state.members.apply("e1", { ...createRecord("e1"), peerAddress }, 1);
+  peerTask = new PeerTask({
+    self,
+    state,
+    log: createNoopLogger(),
+    isServing: () => true,
+    reachesStore: () => true,
+    inFlight: () => ({}),
+    shares: () => ({}),
+    random: Math.random,
+    onPeerState: () => {},
+    onUnknownMembers: () => {},
+  });
+  relayed.clear();
+  localPeer = createSocket("udp4", (bytes) => {
+    const message = decodeMessage(bytes);
+    if (message.kind !== "heartbeat") return;
+    for (const { relay } of message.digests) relayed.add(relay.dataCentre);
+  });
+  const [host, port] = peerAddress.split(":");
+  localPeer.bind(Number(port), host);
+  await peerTask.listen();
+});
+
+When(
+  "it gets digests of {int} KB from {int} data centres at the same time",
+  async (kilobytes: number, count: number) => {
+    const [host, port] = relayAddress.split(":");
+    for (let i = 0; i < count; i++) {
+      const targets = Array.from(
+        { length: kilobytes * 1024 / 16 },
+        (_, t) => [`target-${i}-${t}`, 1],
+      );
+      const digest: Digest = {
+        kind: "digest",
+        relay: createRecord(`relay-${i}`, `b${i}`),
+        serving: [],
+        versions: [0, 0],
+        inFlight: Object.fromEntries(targets),
+        shares: {},
+        suspects: [],
+      };
+      localPeer?.send(encodeMessage(digest), Number(port), host);
+      // The system drops datagrams that are not read in time.
+      if (i % 8 === 0) await pause(2);
+    }
+  },
+);
+
+Then(
+  "the local peer gets all of them within {int} s",
+  (seconds: number) =>
+    untilWithin(() => relayed.size === 88, {
+      seconds,
+      description: "all digests are forwarded",
+    }),
+);
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -4,7 +4,7 @@
  */
 import type { CrashSuspect } from "@bamboolane/types/instance";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { parseEntryRecord } from "./entry_record.ts";
+import { isName, parseEntryRecord } from "./entry_record.ts";
 import type { RowVersions } from "./latest_rows.ts";
 
 /** What an answer of a target stated about its request limit. */
@@ -80,16 +80,36 @@
   return Buffer.from(JSON.stringify(message));
 }
 
+/** Throws unless all that a message is kept by has short names. */
+function checkNames(
+  message: Pick<Digest, "inFlight" | "shares" | "suspects">,
+): void {
+  const names = [
+    ...Object.keys(message.inFlight),
+    ...Object.keys(message.shares),
+    ...message.suspects.flatMap(({ fingerprint, targets }) => [
+      fingerprint,
+      ...targets,
+    ]),
+  ];
+  if (!names.every(isName)) throw new Error("a name that is too long");
+}
+
 /** Decodes a datagram; throws unless it is JSON of a known kind from a valid entry. */
 export function decodeMessage(bytes: Buffer): PeerMessage {
   const message = JSON.parse(bytes.toString("utf8")) as PeerMessage;
   switch (message.kind) {
     case "heartbeat":
-      parseEntryRecord(message.entry);
-      for (const { relay } of message.digests) parseEntryRecord(relay);
+      message.entry = parseEntryRecord(message.entry);
+      checkNames(message);
+      for (const digest of message.digests) {
+        digest.relay = parseEntryRecord(digest.relay);
+        checkNames(digest);
+      }
       return message;
     case "digest":
-      parseEntryRecord(message.relay);
+      message.relay = parseEntryRecord(message.relay);
+      checkNames(message);
       return message;
     default:
       throw new Error("unknown message kind");
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -63,9 +63,22 @@
 const CROSS_REGION_INTERVALS = 4;
 /** Maximum crash suspects in one message; a datagram must stay small. */
 const MAX_SUSPECTS_PER_MESSAGE = 8;
+/**
+ * Maximum size of the digests that a heartbeat forwards, for the same reason; the others
+ * go with the next ones.
+ */
+const MAX_FORWARDED_BYTES = 32_768;
+/** Maximum number of data centres whose digests wait to be forwarded. */
+const MAX_PENDING_DIGESTS = 256;
 /** Maximum leaving targets in one message, for the same reason; the choice rotates. */
 const MAX_LEAVING_PER_MESSAGE = 16;
 
+/** A digest that was not forwarded yet. */
+interface PendingDigest {
+  digest: Digest;
+  bytes: number;
+}
+
 /** Task that owns the datagram socket. */
 export class PeerTask {
   readonly #options: PeerTaskOptions;
@@ -77,7 +90,7 @@
   #stopped = false;
   #hasServed = false;
   /** Newest digest of each data centre that was not forwarded yet. */
-  readonly #pendingDigests = new Map<string, Digest>();
+  readonly #pendingDigests = new Map<string, PendingDigest>();
 
   constructor(options: PeerTaskOptions) {
     this.#options = options;
@@ -160,8 +173,7 @@
 
   #heartbeat(): Heartbeat {
     const { self, state, isServing, reachesStore, inFlight } = this.#options;
-    const digests = [...this.#pendingDigests.values()];
-    this.#pendingDigests.clear();
+    const digests = this.#takePendingDigests();
     const recoveryAgeMillis = performance.now() - state.storeRecoveredAtMillis;
     return {
       kind: "heartbeat",
@@ -183,6 +195,31 @@
     };
   }
 
+  /** Takes the digests that have waited the longest and fit into a heartbeat. */
+  #takePendingDigests(): Digest[] {
+    const digests: Digest[] = [];
+    let totalBytes = 0;
+    for (const [dataCentre, { digest, bytes }] of this.#pendingDigests) {
+      if (totalBytes + bytes > MAX_FORWARDED_BYTES) break;
+      totalBytes += bytes;
+      digests.push(digest);
+      this.#pendingDigests.delete(dataCentre);
+    }
+    return digests;
+  }
+
+  /** Keeps a digest until it is forwarded; a newer one takes its place. */
+  #keepDigest(digest: Digest, bytes: number): void {
+    const { dataCentre } = digest.relay;
+    const fits = bytes <= MAX_FORWARDED_BYTES &&
+      (this.#pendingDigests.has(dataCentre) ||
+        this.#pendingDigests.size < MAX_PENDING_DIGESTS);
+    if (fits) {
+      return void this.#pendingDigests.set(dataCentre, { digest, bytes });
+    }
+    this.#options.log.warn("digest_not_forwarded", { dataCentre, bytes });
+  }
+
   #suspects(): CrashSuspect[] {
     return this.#options.state.crashes.listSuspects(performance.now())
       .slice(-MAX_SUSPECTS_PER_MESSAGE);
@@ -327,7 +364,7 @@
         case "heartbeat":
           return this.#handleHeartbeat(message);
         case "digest":
-          this.#pendingDigests.set(message.relay.dataCentre, message);
+          this.#keepDigest(message, bytes.byteLength);
           return this.#handleDigest(message);
       }
     } catch (error) {
--- a/packages/route/src/crash_tracker.ts
+++ b/packages/route/src/crash_tracker.ts
@@ -6,6 +6,8 @@
 import type { CrashSuspect } from "@bamboolane/types/instance";
 
 const CRASHES_TO_HOLD_BACK = 2;
+/** Maximum number of targets that are remembered of one request. */
+const MAX_TARGETS = 8;
 
 interface CrashRecord {
   targets: Set<string>;
@@ -33,7 +35,9 @@
   recordCrash(fingerprint: string, target: string, nowMillis: number): boolean {
     const record = this.#records.get(fingerprint) ??
       this.#add(fingerprint);
-    if (record.targets.has(target)) return false;
+    if (record.targets.has(target) || record.targets.size >= MAX_TARGETS) {
+      return false;
+    }
     record.targets.add(target);
     record.expiresAtMillis = nowMillis + this.#options.retentionMillis;
     return true;
--- a/packages/steering/src/in_flight_sums.ts
+++ b/packages/steering/src/in_flight_sums.ts
@@ -11,19 +11,32 @@
   untilMillis: number;
 }
 
+/**
+ * Maximum number of counts of all sources together; exceeds the number of targets that
+ * the largest fleet uses at a time. A report beyond it counts as empty.
+ */
+const MAX_COUNTS = 50_000;
+const NO_COUNTS: ReadonlyMap<string, number> = new Map();
+
 /** Requests in flight by target, summed over sources. */
 export class InFlightSums {
   readonly #sources = new Map<string, Source>();
   readonly #sums = new Map<string, number>();
   #nextExpiryMillis = Infinity;
+  /** Number of counts of all sources. */
+  #size = 0;
 
   /** Replaces the counts of `source`; they expire at `untilMillis`. */
   set(
     source: string,
-    counts: ReadonlyMap<string, number>,
+    reported: ReadonlyMap<string, number>,
     untilMillis: number,
   ): void {
     this.remove(source);
+    const counts = this.#size + reported.size > MAX_COUNTS
+      ? NO_COUNTS
+      : reported;
+    this.#size += counts.size;
     this.#sources.set(source, { counts, untilMillis });
     this.#nextExpiryMillis = Math.min(this.#nextExpiryMillis, untilMillis);
     for (const [target, count] of counts) this.#add(target, count);
@@ -33,6 +46,7 @@
     const known = this.#sources.get(source);
     if (known === undefined) return;
     this.#sources.delete(source);
+    this.#size -= known.counts.size;
     for (const [target, count] of known.counts) this.#add(target, -count);
   }
 
--- a/packages/steering/src/member_view.ts
+++ b/packages/steering/src/member_view.ts
@@ -54,6 +54,9 @@
  */
 export const DIGEST_TIMEOUT_MILLIS = 2500;
 
+/** Maximum number of entries that are known from messages only, and not from the store. */
+const MAX_UNLISTED_MEMBERS = 2000;
+
 const NO_SERVICES: ReadonlySet<string> = new Set();
 
 /** The other entries, by id. */
@@ -110,8 +113,8 @@
   }
 
   /**
-   * Applies a heartbeat, except of an earlier incarnation. Returns true for a
-   * new entry or a new incarnation.
+   * Applies a heartbeat, except of an earlier incarnation, or of a new entry while too
+   * many are known. Returns true for a new entry or a new incarnation.
    */
   applyHeartbeat(
     record: EntryRecord,
@@ -120,6 +123,7 @@
   ): boolean {
     const known = this.#members.get(record.id);
     if (known && known.record.incarnation > record.incarnation) return false;
+    if (known === undefined && !this.#makeRoom(nowMillis)) return false;
     const isNew = known === undefined ||
       known.record.incarnation < record.incarnation;
     if (known === undefined) this.#generation++;
@@ -153,6 +157,7 @@
       { ...relayState, inFlight: new Map() },
       nowMillis,
     );
+    if (!this.#members.has(relay.id)) return true;
     const serving = new Set(state.serving);
     for (const [id, member] of this.#members) {
       if (member.record.dataCentre !== relay.dataCentre) continue;
@@ -168,6 +173,24 @@
     return serving.size === 0;
   }
 
+  /** Removes silent entries if there are too many; returns false if that is not enough. */
+  #makeRoom(nowMillis: number): boolean {
+    if (this.#members.size < MAX_UNLISTED_MEMBERS) return true;
+    const unlisted = [...this.#members].filter(([, { version }]) =>
+      version === 0
+    );
+    if (unlisted.length < MAX_UNLISTED_MEMBERS) return true;
+    const silent = unlisted.filter(([, { liveUntilMillis }]) =>
+      liveUntilMillis <= nowMillis
+    );
+    for (const [id] of silent) {
+      this.#members.delete(id);
+      this.#inFlight.remove(id);
+    }
+    if (silent.length > 0) this.#generation++;
+    return silent.length > 0;
+  }
+
   all(): Member[] {
     return [...this.#members.values()];
   }
