Bound what a process holds for callers together

Callers saw: processes that ended, and with them all requests that they held. 400 connections that each pipeline 16 requests with heads of 13 KB filled the heap (158 MB): SIGABRT. Bodies in chunks of one byte, answers that are not read and connections near the descriptor limit exceeded 350 MB of resident memory.

Cause: each kind of thing was bounded for each connection, or not at all; nothing bounded their sum. A request that was refused or dropped kept its head until the answers before it were sent.

Change: one budget for heap and buffers, from which connections, heads, bodies, requests in progress and answers take. What doesn't fit is refused at once with a Retry-After, its connection closes after the answers before it, and what else comes there is dropped unparsed. Once memory is short, connections that wait for their caller are closed. Bodies and answers in pieces are copied to one buffer. Callers leave sockets for targets, so that a lack of descriptors doesn't look like unreachable targets. Requests are refused while the heap itself is nearly full.

The scenario on large bodies gives its entry 6000 kB in place of 4000, since memory now also counts connections and requests; one of three bodies must still fit, and the small ones must be served.

--- a/packages/gateway/features/body_steps.ts
+++ b/packages/gateway/features/body_steps.ts
@@ -8,7 +8,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { BodyMemory } from "@bamboolane/gateway/body_memory";
+import { MemoryBudget } from "@bamboolane/gateway/memory_budget";
 import { readBody } from "@bamboolane/gateway/read_request";
 import {
   answersOf,
@@ -112,7 +112,9 @@
     const { limits } = testConfig(REVISION);
     const reading = readBody(request as unknown as IncomingMessage, {
       limits: { ...limits, bodyBytes: kilobytes * BYTES_PER_KILOBYTE },
-      memory: new BodyMemory(Infinity).open(),
+      memory: new MemoryBudget({
+        limits: { heapBytes: Infinity, bufferBytes: Infinity },
+      }).open(),
     });
     for (let i = 0; i < kilobytes; i += 100) {
       request.write(Buffer.alloc(100 * BYTES_PER_KILOBYTE));
--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -207,7 +207,7 @@
   Scenario: Large bodies that exceed the memory together are refused, and small ones are served
     Given bodies of up to 1000 kB are allowed
     And a target "t1" that answers after 400 ms
-    And an entry "e1" with 4000 kB of memory
+    And an entry "e1" with 6000 kB of memory
     When 3 callers of "e1" post bodies of 1000 kB to "/batch/x", and 2 callers bodies of 1 kB
     Then 1 of the large bodies is answered 200, and 2 are answered 503 with a Retry-After
     And all of the small bodies are answered 200
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -102,6 +102,10 @@
     socket.write(answer + answer);
   },
   "never answers": () => new Promise<void>(() => {}),
+  "answers with 200 kB": (received, socket) => {
+    const body = "x".repeat(200_000);
+    socket.write(formatResponse(200, signedHeaders(received), body));
+  },
   "answers slowly at first": async (received, socket) => {
     await pause(received.path.endsWith("/0") ? 150 : 5);
     answerValidly(received, socket);
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -182,6 +182,7 @@
       region?: string;
       graceMillis?: number;
       memoryBytes?: number;
+      maxSockets?: number;
       /** Called with the addresses before the start, which then isn't awaited. */
       beforeStart?: (listen: GatewaySettings["listen"]) => Promise<void>;
     } = {},
@@ -199,6 +200,7 @@
       },
       listen: { callers, readiness, directory, state, peers, metrics: "" },
       memoryBytes: options.memoryBytes,
+      maxSockets: options.maxSockets,
       storeAddress: "",
       seeds: (options.seeds ?? []).map((seed) =>
         this.entries.get(seed)?.settings.listen.state ?? seed
--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -4,6 +4,8 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { MemoryShare } from "./memory_budget.ts";
+import { ANSWERED_REQUEST_COST } from "./memory_costs.ts";
 
 /** Maximum time until the first request on a new connection, or the rest of a request. */
 const REQUEST_ARRIVAL_MILLIS = 1000;
@@ -15,11 +17,31 @@
 /** How long a caller may take to close its side after the last answer. */
 const LINGER_MILLIS = 1000;
 
+/**
+ * Requests behind the last one that is answered after which the connection is reset:
+ * they would stay in memory until then.
+ */
+const MAX_DROPPED_REQUESTS = 256;
+
+/** Why the requests of a connection are refused. */
+export type Lack = "no-memory" | "no-descriptor";
+
+/** Options of {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+  /** Memory that the connection takes; closed with it. */
+  memory: MemoryShare;
+  /** Why its requests are refused; undefined for a connection that is served. */
+  lack?: Lack;
+}
+
 /** Connection of a caller. */
 export class CallerConnection {
   /** Incomplete answers, in the order of their requests. */
   readonly pending = new Set<ServerResponse>();
+  /** Why the requests of this connection are refused; undefined if they are served. */
+  readonly lack: Lack | undefined;
   readonly #socket: Socket;
+  readonly #memory: MemoryShare;
   /** Called once for each answer that is complete, or can't be sent any more. */
   readonly #onSettled = new Map<ServerResponse, () => void>();
   /** Answers of the requests that may run. */
@@ -28,21 +50,30 @@
   readonly #waiting = new Map<ServerResponse, () => void>();
   /** Bytes that were read up to the last request; undefined before the first one. */
   #requestBytes: number | undefined;
+  /** Bytes that were read up to the last request, or the last piece of a body. */
+  #parsedBytes = 0;
   /** Since when a request is on its way; undefined while none is. */
   #arrivingSinceMillis: number | undefined = performance.now();
   #closing = false;
+  #discardsInput = false;
+  #droppedCount = 0;
   /** The answer that announces the close; undefined until there is one. */
   #lastAnswer: ServerResponse | undefined;
   /** The request whose head was read last, with its answer. */
   #latest: { request: IncomingMessage; response: ServerResponse } | undefined;
+  /** Bytes read and not yet sent when the connection last made progress. */
+  #progress = { readBytes: 0, unsentBytes: 0, atMillis: performance.now() };
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#socket = socket;
+    this.#memory = options.memory;
+    this.lack = options.lack;
     // The HTTP server calls this after an answer that announced the close.
     socket.destroySoon = () => this.end();
     // Answers that wait for those before them emit no event of their own.
     socket.once("close", () => {
       for (const response of [...this.pending]) this.#settle(response);
+      this.#memory.close();
     });
   }
 
@@ -55,6 +86,10 @@
     this.#recordRead();
     if (this.#lastAnswer !== undefined) {
       request.resume();
+      // It stays in memory until the answers before it are sent.
+      this.#memory.take(ANSWERED_REQUEST_COST);
+      this.discardInput();
+      if (++this.#droppedCount > MAX_DROPPED_REQUESTS) this.reset();
       return false;
     }
     this.#latest = { request, response };
@@ -111,6 +146,57 @@
     if (this.#lastAnswer === undefined) this.end();
   }
 
+  /**
+   * Drops what the caller still sends, unparsed: the parser would keep each request in
+   * memory. The caller's close is still noticed.
+   */
+  discardInput(): void {
+    if (this.#discardsInput) return;
+    this.#discardsInput = true;
+    this.#socket.removeAllListeners("data");
+    this.#socket.on("data", () => {});
+    this.#socket.resume();
+  }
+
+  /** Records that a piece of a body was read. */
+  recordPiece(): void {
+    this.#parsedBytes = this.#socket.bytesRead;
+  }
+
+  /** Size of a head, or of the trailers of a body, that are not complete yet. */
+  get unparsedBytes(): number {
+    if (this.#discardsInput) return 0;
+    return this.#socket.bytesRead - this.#parsedBytes;
+  }
+
+  /**
+   * Time for which the entry has waited for the caller to send the rest of a request or
+   * to read an answer; 0 if it doesn't. Called periodically.
+   */
+  waitedForCallerMillis(nowMillis: number): number {
+    const readBytes = this.#socket.bytesRead;
+    const unsentBytes = this.#socket.writableLength;
+    const isWaiting = unsentBytes > 0 || this.incomplete !== undefined ||
+      this.unparsedBytes > 0;
+    if (
+      !isWaiting || readBytes !== this.#progress.readBytes ||
+      unsentBytes !== this.#progress.unsentBytes
+    ) {
+      this.#progress = { readBytes, unsentBytes, atMillis: nowMillis };
+    }
+    return nowMillis - this.#progress.atMillis;
+  }
+
+  /** True if the caller has to read before more can be sent. */
+  get hasUnsentAnswer(): boolean {
+    return this.#socket.writableLength > 0;
+  }
+
+  /** Closes the connection at once, so that no answer can look complete. */
+  reset(): void {
+    this.#socket.resetAndDestroy();
+  }
+
   #lastPending(): ServerResponse | undefined {
     return [...this.pending].at(-1);
   }
@@ -148,7 +234,7 @@
     const socket = this.#socket;
     if (socket.writableEnded) return;
     socket.end();
-    socket.resume();
+    this.discardInput();
     const timer = setTimeout(() => socket.destroy(), LINGER_MILLIS);
     timer.unref();
     socket.once("close", () => clearTimeout(timer));
@@ -167,6 +253,7 @@
 
   #recordRead(): void {
     this.#requestBytes = this.#socket.bytesRead;
+    this.#parsedBytes = this.#requestBytes;
     this.#arrivingSinceMillis = undefined;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/caller_connections.ts
@@ -0,0 +1,170 @@
+/**
+ * The open connections of callers, and the memory that they hold. Once little memory is
+ * left, connections that wait for their callers are closed: those whose requests or
+ * answers have made no progress for the longest time.
+ */
+import type { Socket } from "node:net";
+import type { EventLog } from "@bamboolane/logger/create_logger";
+import { CallerConnection, type Lack } from "./caller_connection.ts";
+import type { DescriptorBudget } from "./descriptor_budget.ts";
+import type { MemoryAmount, MemoryBudget } from "./memory_budget.ts";
+import { CONNECTION_COST, partialHeadCost } from "./memory_costs.ts";
+
+/** Options of {@link CallerConnections}. */
+export interface CallerConnectionsOptions {
+  memory: MemoryBudget;
+  descriptors: DescriptorBudget;
+  log: EventLog;
+  /** How long a caller may take at most to send more of a request. */
+  idleTimeoutMillis: () => number;
+  /** Refuses the request that is being received on a connection, and closes that. */
+  onShed: (socket: Socket, cause: ShedCause) => void;
+}
+
+/** Why a connection that waits for its caller is closed. */
+export type ShedCause = "caller-timeout" | "no-memory";
+
+const CHECK_INTERVAL_MILLIS = 200;
+/** Load of the memory from which waiting connections are closed. */
+const SHEDDING_LOAD = 0.8;
+/** Load from which new connections are closed at once, since refusals need memory too. */
+const MAX_LOAD = 1.25;
+/** How long a caller may take at least, unless the limit is exceeded. */
+const MIN_WAIT_MILLIS = 2000;
+/** Share of the waiting connections that one check closes. */
+const SHED_SHARE = 1 / 4;
+
+/** Open connections of callers. */
+export class CallerConnections {
+  readonly #options: CallerConnectionsOptions;
+  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #timer: NodeJS.Timeout;
+  /** Memory of the heads and trailers that are not complete. */
+  #partialHeads: MemoryAmount = { heapBytes: 0, bufferBytes: 0 };
+
+  constructor(options: CallerConnectionsOptions) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MILLIS);
+    this.#timer.unref();
+  }
+
+  get size(): number {
+    return this.#connections.size;
+  }
+
+  get(socket: Socket): CallerConnection | undefined {
+    return this.#connections.get(socket);
+  }
+
+  values(): IterableIterator<CallerConnection> {
+    return this.#connections.values();
+  }
+
+  /**
+   * Adds a new connection. Its requests are refused if there is no memory or no
+   * descriptor for it; returns undefined if there is none for a refusal either.
+   */
+  add(socket: Socket): CallerConnection | undefined {
+    const { memory, descriptors } = this.#options;
+    const share = memory.open();
+    const hasMemory = share.reserve(CONNECTION_COST);
+    if (descriptors.isFull || !hasMemory && memory.load > MAX_LOAD) {
+      socket.destroy();
+      return undefined;
+    }
+    if (!hasMemory) share.take(CONNECTION_COST);
+    const connection = new CallerConnection(socket, {
+      memory: share,
+      lack: findLack(hasMemory, descriptors),
+    });
+    descriptors.callerCount++;
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      descriptors.callerCount--;
+      this.#connections.delete(socket);
+    });
+    return connection;
+  }
+
+  /** Stops the checks; open connections stay. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#countPartialHeads(0);
+  }
+
+  #check(): void {
+    const { memory, idleTimeoutMillis } = this.#options;
+    const nowMillis = performance.now();
+    let partialBytes = 0;
+    const waiting: WaitingConnection[] = [];
+    for (const [socket, connection] of this.#connections) {
+      partialBytes += connection.unparsedBytes;
+      const waitedMillis = connection.waitedForCallerMillis(nowMillis);
+      if (waitedMillis > 0) waiting.push({ socket, connection, waitedMillis });
+    }
+    this.#countPartialHeads(partialBytes);
+    const maxWaitMillis = idleTimeoutMillis();
+    if (memory.load < SHEDDING_LOAD) {
+      for (const entry of waiting) {
+        // Only large pieces of an answer show whether its caller reads.
+        const isSlow = entry.waitedMillis >= maxWaitMillis;
+        if (isSlow && !entry.connection.hasUnsentAnswer) {
+          this.#shed(entry, "caller-timeout");
+        }
+      }
+      return;
+    }
+    waiting.sort((a, b) => b.waitedMillis - a.waitedMillis);
+    const maxCount = Math.ceil(waiting.length * SHED_SHARE);
+    for (const entry of waiting.slice(0, maxCount)) {
+      if (memory.load < SHEDDING_LOAD) return;
+      if (entry.waitedMillis >= MIN_WAIT_MILLIS || memory.load > 1) {
+        this.#shed(entry, "no-memory");
+      }
+    }
+  }
+
+  #countPartialHeads(bytes: number): void {
+    const { memory } = this.#options;
+    memory.release(this.#partialHeads);
+    this.#partialHeads = partialHeadCost(bytes);
+    memory.take(this.#partialHeads);
+  }
+
+  #shed(
+    { socket, connection, waitedMillis }: WaitingConnection,
+    cause: ShedCause,
+  ): void {
+    const { memory, log, onShed } = this.#options;
+    const partialBytes = connection.unparsedBytes;
+    log.warn("caller_shed", {
+      cause,
+      waitedMillis: Math.round(waitedMillis),
+      unsentBytes: socket.writableLength,
+      unparsedBytes: partialBytes,
+      openAnswers: connection.pending.size,
+      memoryLoad: Math.round(memory.load * 100) / 100,
+    });
+    if (connection.hasUnsentAnswer) connection.reset();
+    else onShed(socket, cause);
+    const { heapBytes, bufferBytes } = partialHeadCost(partialBytes);
+    memory.release({ heapBytes, bufferBytes });
+    this.#partialHeads.heapBytes -= heapBytes;
+    this.#partialHeads.bufferBytes -= bufferBytes;
+  }
+}
+
+/** A connection whose caller has to send or to read something. */
+interface WaitingConnection {
+  socket: Socket;
+  connection: CallerConnection;
+  waitedMillis: number;
+}
+
+function findLack(
+  hasMemory: boolean,
+  descriptors: DescriptorBudget,
+): Lack | undefined {
+  if (!hasMemory) return "no-memory";
+  return descriptors.hasRoomForCaller ? undefined : "no-descriptor";
+}
--- /dev/null
+++ b/packages/gateway/src/descriptor_budget.ts
@@ -0,0 +1,45 @@
+/**
+ * Shares the sockets that a process may open between callers and targets. Without
+ * sockets for targets no caller is served, and a failed connect call would look like an
+ * unreachable target.
+ */
+
+/** Share of the sockets that callers may take. */
+const CALLERS_SHARE = 0.6;
+/**
+ * Share of the sockets from which connections of callers are closed at once; between
+ * the two, requests on further connections are refused.
+ */
+const MAX_CALLERS_SHARE = 0.7;
+/** Share of the sockets for the store, other entries and look-ups. */
+const RESERVED_SHARE = 1 / 32;
+
+/** Sockets of one process. */
+export class DescriptorBudget {
+  readonly #maxSockets: number;
+  /** Open connections of callers, and of entries that forward requests. */
+  callerCount = 0;
+  /** Open connections to targets and to other entries. */
+  targetCount = 0;
+
+  /** `maxSockets` is Infinity if there is no known limit. */
+  constructor(maxSockets: number) {
+    this.#maxSockets = maxSockets;
+  }
+
+  /** True if the requests of one more connection may be served. */
+  get hasRoomForCaller(): boolean {
+    return this.callerCount < this.#maxSockets * CALLERS_SHARE;
+  }
+
+  /** True if there is no socket left for a caller, not even to refuse its request. */
+  get isFull(): boolean {
+    return this.callerCount >= this.#maxSockets * MAX_CALLERS_SHARE;
+  }
+
+  /** True if each of the requests in flight can have a connection to a target. */
+  hasRoomForRequest(inFlight: number): boolean {
+    return this.callerCount + Math.max(inFlight, this.targetCount) <
+      this.#maxSockets * (1 - RESERVED_SHARE);
+  }
+}
--- a/packages/gateway/src/gateway_request.ts
+++ b/packages/gateway/src/gateway_request.ts
@@ -3,6 +3,7 @@
  */
 import type { WaitingRequest } from "@bamboolane/steering/wait_queue";
 import type { SteeringRoute } from "@bamboolane/steering/steering_config";
+import type { MemoryShare } from "./memory_budget.ts";
 
 /**
  * Answer of the gateway itself, if no target's answer is forwarded. The kinds
@@ -67,6 +68,8 @@
   /** Equal for repetitions of a request; crashes are recorded under it. */
   fingerprint: string;
   sink: AnswerSink;
+  /** Memory that the request and its answer take. */
+  memory: MemoryShare;
   /** True if another entry forwarded the request; it is not forwarded again. */
   isForwarded: boolean;
   /** Ids of the targets that the request was sent to. */
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -18,9 +18,15 @@
   CallerLimits,
   SteeringRoute,
 } from "@bamboolane/steering/steering_config";
-import { CallerSink, writeLocalAnswer } from "./answer_caller.ts";
-import type { BodyMemory } from "./body_memory.ts";
+import {
+  CallerSink,
+  formatRetryAfter,
+  writeLocalAnswer,
+} from "./answer_caller.ts";
+import type { CallerConnection, Lack } from "./caller_connection.ts";
+import { CallerConnections, type ShedCause } from "./caller_connections.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
+import type { DescriptorBudget } from "./descriptor_budget.ts";
 import {
   FORWARDED_HEADER,
   type ForwardedState,
@@ -30,6 +36,8 @@
 import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import { listen } from "./listen.ts";
+import type { MemoryBudget, MemoryShare } from "./memory_budget.ts";
+import { ANSWERED_REQUEST_COST, requestCost } from "./memory_costs.ts";
 import {
   fingerprintOf,
   hasSeveralHosts,
@@ -38,7 +46,6 @@
   readHead,
 } from "./read_request.ts";
 import { type RequestRunner, STOPPING_RETRY_MILLIS } from "./request_runner.ts";
-import { CallerConnection } from "./caller_connection.ts";
 import { catchUp, pollSockets, type StallMonitor } from "./stall_monitor.ts";
 
 /** How far a graceful stop has come. */
@@ -51,8 +58,10 @@
   stallMonitor: StallMonitor;
   dialect: CallerDialect;
   log: EventLog;
-  /** Memory for the bodies of requests; shared by all servers of the process. */
-  bodyMemory: BodyMemory;
+  /** Shared by all servers of the process. */
+  memory: MemoryBudget;
+  /** Shared by all servers of the process. */
+  descriptors: DescriptorBudget;
   /** Serves other entries that forward requests. */
   servesEntries?: boolean;
 }
@@ -73,8 +82,13 @@
 const MAX_ACCEPT_MILLIS = 250;
 /** Maximum number of connections that wait to be accepted. */
 const BACKLOG = 1024;
-/** Retry delay of a request for whose body there is no memory; a large body takes long. */
-const NO_MEMORY_RETRY_MILLIS = 1000;
+/** Retry delay of a request for which there is no memory or no descriptor. */
+const LACK_RETRY_MILLIS = 1000;
+/**
+ * Share of the memory that may be taken for a request behind others on its connection,
+ * so that a few callers that pipeline leave memory for all others.
+ */
+const PIPELINED_SHARE = 0.4;
 /** Limits until a configuration is known. */
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -87,12 +101,17 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
-  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #connections: CallerConnections;
   #phase: StopPhase = "running";
   #acceptedCount = 0;
 
   constructor(options: GatewayServerOptions) {
     this.#options = options;
+    this.#connections = new CallerConnections({
+      ...options,
+      idleTimeoutMillis: () => this.#limits().idleTimeoutMillis,
+      onShed: (socket, cause) => this.#rejectIncomplete(socket, cause),
+    });
     this.#server = createServer({
       maxHeaderSize: MAX_PARSER_HEADER_BYTES,
       requestTimeout: 0,
@@ -103,10 +122,10 @@
     }, (request, response) => this.#handleSafely(request, response));
     this.#server.on("connection", (socket: Socket) => {
       this.#acceptedCount++;
-      const connection = new CallerConnection(socket);
-      this.#connections.set(socket, connection);
-      socket.once("close", () => this.#connections.delete(socket));
-      if (this.#phase !== "running") connection.announceClose();
+      const connection = this.#connections.add(socket);
+      if (this.#phase !== "running" || connection?.lack !== undefined) {
+        connection?.announceClose();
+      }
     });
     this.#server.on(
       "clientError",
@@ -188,6 +207,7 @@
 
   /** Closes all connections at once, without waiting for incomplete answers. */
   close(): void {
+    this.#connections.stop();
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -231,6 +251,7 @@
       request.socket.writableEnded || !connection.track(request, response)
     ) {
       request.resume();
+      dropHead(request);
       return;
     }
     if (this.#phase === "closed") {
@@ -240,14 +261,28 @@
         retryAfterMillis: STOPPING_RETRY_MILLIS,
       });
     }
-    const { state, log } = this.#options;
-    const limits = this.#limits();
-    if (headerBytes(request) > limits.headerBytes) {
+    const { state, log, memory: budget } = this.#options;
+    const memory = budget.open();
+    connection.onSettled(response, () => memory.close());
+    const lack = connection.lack ?? this.#findDescriptorLack() ??
+      (memory.reserve(ANSWERED_REQUEST_COST) ? undefined : "no-memory");
+    if (lack !== undefined) {
+      return this.#refuseForLack(request, response, { connection, lack });
+    }
+    const headBytes = headerBytes(request);
+    if (headBytes > this.#limits().headerBytes) {
       return this.#reject(request, response, {
         status: 431,
         reason: "header too large",
       });
     }
+    const share = connection.pending.size > 1 ? PIPELINED_SHARE : 1;
+    if (!memory.reserve(requestCost(request, headBytes), share)) {
+      return this.#refuseForLack(request, response, {
+        connection,
+        lack: "no-memory",
+      });
+    }
     if (hasSeveralHosts(request)) {
       return this.#reject(request, response, {
         status: 400,
@@ -271,7 +306,7 @@
         reason: "no route",
       });
     }
-    this.#accept(request, response, { route, connection }).catch(
+    this.#accept(request, response, { route, connection, memory }).catch(
       (error: Error) => this.#fail(request, response, error),
     );
   }
@@ -279,25 +314,33 @@
   async #accept(
     request: IncomingMessage,
     response: ServerResponse,
-    { route, connection }: {
+    { route, connection, memory }: {
       route: SteeringRoute;
       connection: CallerConnection;
+      memory: MemoryShare;
     },
   ): Promise<void> {
     const { state, runner, stallMonitor, dialect, log } = this.#options;
     const forwarded = this.#forwardedState(request);
     const arrivedAtMillis = performance.now() - forwarded.elapsedMillis;
     const head = readHead(request, route, dialect);
-    const memory = this.#options.bodyMemory.open();
-    connection.onSettled(response, () => memory.close());
     const bodyResult = await readBody(request, {
       limits: this.#limits(),
       memory,
+      onPiece: () => connection.recordPiece(),
     });
-    if (bodyResult.kind === "too-large" || bodyResult.kind === "no-memory") {
-      return this.#rejectBody(request, response, {
+    if (bodyResult.kind === "no-memory") {
+      return this.#refuseForLack(request, response, {
         connection,
-        result: bodyResult.kind,
+        lack: "no-memory",
+      });
+    }
+    if (bodyResult.kind === "too-large") {
+      dropBody(request);
+      connection.closeAfterPending();
+      return this.#reject(request, response, {
+        status: 413,
+        reason: "body too large",
       });
     }
     await connection.takeTurn(response);
@@ -349,6 +392,7 @@
           ? [dialect.requestIdHeader, head.id]
           : undefined,
       }),
+      memory,
       isForwarded: this.#servesEntries,
       triedTargets: new Set(),
       triedEntries: new Set(),
@@ -366,40 +410,87 @@
     runner.run(gatewayRequest);
   }
 
-  /** Answers a request whose body is not read to its end, and closes the connection. */
-  #rejectBody(
+  #findDescriptorLack(): Lack | undefined {
+    const { descriptors, runner } = this.#options;
+    if (descriptors.hasRoomForRequest(runner.inFlight)) return undefined;
+    runner.closeIdleConnections();
+    return "no-descriptor";
+  }
+
+  /**
+   * Refuses a request for which there is no memory or no descriptor, and closes the
+   * connection after it: what else was sent there would be held as well.
+   */
+  #refuseForLack(
     request: IncomingMessage,
     response: ServerResponse,
-    options: {
-      connection: CallerConnection;
-      result: "too-large" | "no-memory";
-    },
+    { connection, lack }: { connection: CallerConnection; lack: Lack },
   ): void {
-    const { connection, result } = options;
-    request.removeAllListeners("data");
-    request.resume();
-    connection.closeAfterPending();
-    if (result === "too-large") {
-      return this.#reject(request, response, {
-        status: 413,
-        reason: "body too large",
-      });
-    }
+    this.#options.memory.refusalCount++;
+    const { headers } = request;
     this.#options.log.warn("request", {
-      request: String(
-        request.headers[this.#options.dialect.requestIdHeader] ?? "",
-      ),
+      request: String(headers[this.#options.dialect.requestIdHeader] ?? ""),
       outcome: "refused",
-      reason: "no-memory",
-      bodyBytes: Number(request.headers["content-length"] ?? 0),
+      reason: lack,
+      bodyBytes: Number(headers["content-length"] ?? 0),
     });
+    dropBody(request);
+    connection.closeAfterPending();
+    connection.discardInput();
     this.#writeOwnAnswer(request, response, {
       status: 503,
-      text: "no memory for the body\n",
-      retryAfterMillis: NO_MEMORY_RETRY_MILLIS,
+      text: `${lack}\n`,
+      retryAfterMillis: LACK_RETRY_MILLIS,
     });
   }
 
+  /** Answers the request that a caller has not completed, and closes the connection. */
+  #rejectIncomplete(socket: Socket, cause: ShedCause): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || socket.writableEnded) return;
+    const { incomplete } = connection;
+    if (incomplete !== undefined && cause === "no-memory") {
+      const { request, response } = incomplete;
+      return this.#refuseForLack(request, response, {
+        connection,
+        lack: cause,
+      });
+    }
+    if (incomplete !== undefined) {
+      dropBody(incomplete.request);
+      connection.closeAfterPending();
+      return this.#reject(incomplete.request, incomplete.response, {
+        status: 408,
+        reason: cause,
+      });
+    }
+    if (connection.pending.size > 0) {
+      connection.closeAfterPending();
+      return connection.discardInput();
+    }
+    if (cause === "no-memory") this.#options.memory.refusalCount++;
+    this.#rejectHead(socket, {
+      status: cause === "no-memory" ? 503 : 408,
+      reason: cause,
+    });
+  }
+
+  /** Answers a request whose head was not read, and closes the connection. */
+  #rejectHead(
+    socket: Socket,
+    { status, reason }: { status: number; reason: string | undefined },
+  ): void {
+    this.#options.log.info("request", { outcome: "rejected", status, reason });
+    const retryAfter = status === 503
+      ? `Retry-After: ${formatRetryAfter(LACK_RETRY_MILLIS)}\r\n`
+      : "";
+    socket.write(
+      `HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\n${retryAfter}` +
+        "Connection: close\r\n\r\n",
+    );
+    this.#connections.get(socket)?.end();
+  }
+
   #reject(
     request: IncomingMessage,
     response: ServerResponse,
@@ -469,6 +560,7 @@
         answer.status === 503 ? "refused" : "failed",
       ),
     });
+    dropHead(request);
   }
 
   /**
@@ -493,16 +585,7 @@
       });
     }
     if (connection.pending.size > 0) return;
-    this.#options.log.info("request", {
-      outcome: "rejected",
-      status,
-      reason: error.code,
-    });
-    socket.write(
-      `HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\n` +
-        "Connection: close\r\n\r\n",
-    );
-    connection.end();
+    this.#rejectHead(socket, { status, reason: error.code });
   }
 }
 
@@ -515,6 +598,18 @@
     request.socket.readableEnded;
 }
 
+/** Reads the rest of a body without keeping it. */
+function dropBody(request: IncomingMessage): void {
+  request.removeAllListeners("data");
+  request.resume();
+}
+
+/** Releases the fields of a request that is answered but may wait to be sent. */
+function dropHead(request: IncomingMessage): void {
+  request.rawHeaders = [];
+  request.headers = {};
+}
+
 function malformedStatus(code: string | undefined): number {
   switch (code) {
     case "HPE_HEADER_OVERFLOW":
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -23,6 +23,8 @@
   };
   /** Memory that the process may use; undefined if there is no known limit. */
   memoryBytes?: number;
+  /** Sockets that the process may open; undefined if there is no known limit. */
+  maxSockets?: number;
   storeAddress: string;
   /** State addresses of entries to fetch the state from while the store can't be read. */
   seeds: readonly string[];
--- a/packages/gateway/src/memory_monitor.ts
+++ b/packages/gateway/src/memory_monitor.ts
@@ -1,12 +1,30 @@
 /**
  * Watches the memory of the process itself. A heap that is full ends the process
  * without a line of the log, and so does the platform when resident memory exceeds the
- * limit; the log names both before.
+ * limit; the log names both before, and requests are refused while the heap is nearly
+ * full.
  */
 import process from "node:process";
 import { getHeapStatistics } from "node:v8";
 import type { EventLog, LogFields } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
+import type { MemoryAmount, MemoryBudget } from "./memory_budget.ts";
+
+/** Memory of the process where its limit isn't known. */
+const DEFAULT_MEMORY_BYTES = 367_001_600;
+/** Share of the memory that the heap may take, also where V8 allows more. */
+const MAX_HEAP_SHARE = 0.45;
+/**
+ * Share of the heap for what is held for others. The rest is for the state, for what
+ * each request leaves behind, and for the garbage collector, which gets slow in a heap
+ * that is nearly full.
+ */
+const HELD_HEAP_SHARE = 0.35;
+/**
+ * Share of the memory for buffers and sockets. The rest is for the program, and for
+ * memory that was released but not returned to the system.
+ */
+const HELD_BUFFER_SHARE = 0.25;
 
 const CHECK_INTERVAL_MILLIS = 250;
 /** Shares of a limit from which its memory counts as high, and below which no longer. */
@@ -16,8 +34,27 @@
 const PEAK_STEP_SHARE = 1 / 16;
 const REMINDER_INTERVAL_MILLIS = 1000;
 
+/**
+ * Memory for what is held for others, of a process that may use `memoryBytes`, which is
+ * undefined if there is no known limit.
+ */
+export function planMemory(
+  memoryBytes: number = DEFAULT_MEMORY_BYTES,
+): MemoryAmount {
+  return {
+    heapBytes: heapLimitBytes(memoryBytes) * HELD_HEAP_SHARE,
+    bufferBytes: memoryBytes * HELD_BUFFER_SHARE,
+  };
+}
+
+function heapLimitBytes(memoryBytes: number): number {
+  const { heap_size_limit: v8LimitBytes } = getHeapStatistics();
+  return Math.min(v8LimitBytes, memoryBytes * MAX_HEAP_SHARE);
+}
+
 /** Options of {@link MemoryMonitor}. */
 export interface MemoryMonitorOptions {
+  memory: MemoryBudget;
   /** Memory that the process may use; undefined if there is no known limit. */
   memoryBytes: number | undefined;
   log: EventLog;
@@ -34,12 +71,13 @@
   #loggedPeakShare = 0;
   #isHigh = false;
   #loggedAtMillis = -Infinity;
+  #loggedRefusals = 0;
 
   constructor(options: MemoryMonitorOptions) {
     this.#options = options;
     this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MILLIS);
     this.#timer.unref();
-    const { metrics } = options;
+    const { memory, metrics } = options;
     metrics.gauge("bamboolane_resident_bytes", () => process.memoryUsage.rss());
     metrics.gauge(
       "bamboolane_heap_bytes",
@@ -49,6 +87,12 @@
       "bamboolane_heap_limit_bytes",
       () => getHeapStatistics().heap_size_limit,
     );
+    metrics.gauge("bamboolane_held_heap_bytes", () => memory.held.heapBytes);
+    metrics.gauge(
+      "bamboolane_held_buffer_bytes",
+      () => memory.held.bufferBytes,
+    );
+    metrics.gauge("bamboolane_memory_refusals", () => memory.refusalCount);
   }
 
   stop(): void {
@@ -56,14 +100,18 @@
   }
 
   #check(): void {
-    const { memoryBytes = Infinity, log } = this.#options;
+    const { memory, memoryBytes = Infinity, log } = this.#options;
     const { used_heap_size: heapBytes, heap_size_limit: heapLimitBytes } =
       getHeapStatistics();
     const residentBytes = process.memoryUsage.rss();
     const heapShare = heapBytes / heapLimitBytes;
     const residentShare = residentBytes / memoryBytes;
-    const share = Math.max(heapShare, residentShare);
-    const isHigh = share >= (this.#isHigh ? NORMAL_SHARE : HIGH_SHARE);
+    memory.suspended = heapShare >=
+      (memory.suspended ? NORMAL_SHARE : HIGH_SHARE);
+    const share = Math.max(heapShare, residentShare, memory.load);
+    const hasRefused = memory.refusalCount > this.#loggedRefusals;
+    const isHigh = hasRefused ||
+      share >= (this.#isHigh ? NORMAL_SHARE : HIGH_SHARE);
     const nowMillis = performance.now();
     const isDue = isHigh !== this.#isHigh ||
       isHigh && nowMillis - this.#loggedAtMillis >= REMINDER_INTERVAL_MILLIS;
@@ -74,6 +122,9 @@
       heapLimitBytes,
       residentBytes,
       memoryBytes,
+      heldHeapBytes: Math.round(memory.held.heapBytes),
+      heldBufferBytes: Math.round(memory.held.bufferBytes),
+      refused: memory.refusalCount - this.#loggedRefusals,
       ...this.#options.describe(),
     };
     if (isHigh) log.warn("memory_high", fields);
@@ -82,5 +133,6 @@
     this.#loggedPeakShare = Math.max(this.#loggedPeakShare, share);
     this.#isHigh = isHigh;
     this.#loggedAtMillis = nowMillis;
+    this.#loggedRefusals = memory.refusalCount;
   }
 }
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -7,6 +7,7 @@
 import { choosePeer } from "@bamboolane/steering/choose_peer";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import type { CallerDialect } from "./caller_dialect.ts";
+import type { DescriptorBudget } from "./descriptor_budget.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { GatewayState } from "./gateway_state.ts";
@@ -18,6 +19,7 @@
   settings: GatewaySettings;
   dialect: CallerDialect;
   state: GatewayState;
+  descriptors: DescriptorBudget;
   log: EventLog;
   random: () => number;
 }
@@ -123,6 +125,13 @@
     };
   }
 
+  /** Closes all idle connections. */
+  closeIdleConnections(): void {
+    for (const connections of this.#connections.values()) {
+      connections.closeIdle();
+    }
+  }
+
   /** Closes idle connections to entries that are no longer known; called periodically. */
   closeUnusedConnections(): void {
     const used = new Set(
@@ -136,9 +145,7 @@
   }
 
   stop(): void {
-    for (const connections of this.#connections.values()) {
-      connections.closeIdle();
-    }
+    this.closeIdleConnections();
   }
 
   #lacksTargets(service: string, nowMillis: number): boolean {
@@ -155,7 +162,10 @@
   #connectionsTo(address: string): TargetConnections {
     let connections = this.#connections.get(address);
     if (connections === undefined) {
-      connections = new TargetConnections(address, { onConnected: () => {} });
+      connections = new TargetConnections(address, {
+        descriptors: this.#options.descriptors,
+        onConnected: () => {},
+      });
       this.#connections.set(address, connections);
     }
     return connections;
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -7,10 +7,14 @@
   CallerLimits,
   SteeringRoute,
 } from "@bamboolane/steering/steering_config";
-import type { BodyShare } from "./body_memory.ts";
+import { ByteCollector } from "./byte_collector.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { FORWARDED_HEADER } from "./forwarding_headers.ts";
+import type { MemoryShare } from "./memory_budget.ts";
+
+/** Bodies above this size are large: they may take only a part of the memory. */
+const LARGE_BODY_BYTES = 65_536;
 
 /** Parsed headers of a request. */
 export interface RequestHead {
@@ -92,9 +96,14 @@
 /** Reads the complete body, so that the request can be retried. */
 export function readBody(
   request: IncomingMessage,
-  options: { limits: CallerLimits; memory: BodyShare },
+  options: {
+    limits: CallerLimits;
+    memory: MemoryShare;
+    /** Called after each piece. */
+    onPiece?: () => void;
+  },
 ): Promise<BodyResult> {
-  const { limits, memory } = options;
+  const { limits, memory, onPiece } = options;
   if (!hasBody(request)) {
     return Promise.resolve({ kind: "whole", body: undefined });
   }
@@ -102,56 +111,32 @@
   if (announcedBytes > limits.bodyBytes) {
     return Promise.resolve({ kind: "too-large" });
   }
-  if (!memory.growTo(announcedBytes)) {
+  const reserve = (bytes: number) => reserveBody(bytes, memory);
+  if (announcedBytes > 0 && !reserve(announcedBytes)) {
     return Promise.resolve({ kind: "no-memory" });
   }
   return new Promise((resolve) => {
-    const buffer = new BodyBuffer(announcedBytes);
-    request.on("data", (chunk: Buffer) => {
-      const size = buffer.byteLength + chunk.byteLength;
+    const collector = new ByteCollector({
+      announcedBytes,
+      reserve: announcedBytes > 0 ? () => true : reserve,
+    });
+    request.on("data", (piece: Buffer) => {
+      const size = collector.byteLength + piece.byteLength;
       if (size > limits.bodyBytes) return resolve({ kind: "too-large" });
-      if (!memory.growTo(size)) return resolve({ kind: "no-memory" });
-      buffer.add(chunk);
+      if (!collector.add(piece)) resolve({ kind: "no-memory" });
+      onPiece?.();
     });
     request.once(
       "end",
-      () => resolve({ kind: "whole", body: buffer.contents() }),
+      () => resolve({ kind: "whole", body: collector.contents() }),
     );
     request.once("error", () => resolve({ kind: "broken" }));
     request.once("close", () => resolve({ kind: "broken" }));
   });
 }
 
-/**
- * Collects a body. One whose length is known is written to its place at once, so that
- * it is in memory only once.
- */
-class BodyBuffer {
-  readonly #announced: Buffer | undefined;
-  #chunks: Buffer[] = [];
-  #size = 0;
-
-  constructor(announcedBytes: number) {
-    if (announcedBytes > 0) {
-      this.#announced = Buffer.allocUnsafeSlow(announcedBytes);
-    }
-  }
-
-  get byteLength(): number {
-    return this.#size;
-  }
-
-  add(chunk: Buffer): void {
-    if (this.#announced) chunk.copy(this.#announced, this.#size);
-    else this.#chunks.push(chunk);
-    this.#size += chunk.byteLength;
-  }
-
-  /** Returns the body; called once. */
-  contents(): Buffer {
-    const contents = this.#announced ?? Buffer.concat(this.#chunks, this.#size);
-    // The request's listeners keep this buffer until its answer is sent.
-    this.#chunks = [];
-    return contents;
-  }
+function reserveBody(bytes: number, memory: MemoryShare): boolean {
+  return bytes > LARGE_BODY_BYTES
+    ? memory.reserveLargeBody(bytes)
+    : memory.reserveBuffer(bytes);
 }
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -17,6 +17,7 @@
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { AttemptRecorder } from "./attempt_recorder.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
+import type { DescriptorBudget } from "./descriptor_budget.ts";
 import {
   type GatewayRequest,
   type LocalAnswer,
@@ -43,6 +44,7 @@
   dialect: CallerDialect;
   state: GatewayState;
   stallMonitor: StallMonitor;
+  descriptors: DescriptorBudget;
   log: EventLog;
   metrics: Metrics;
   random: () => number;
@@ -215,13 +217,19 @@
     this.#forwarder.closeUnusedConnections();
   }
 
+  /** Closes all idle connections, so that others can be opened. */
+  closeIdleConnections(): void {
+    this.#forwarder.closeIdleConnections();
+    for (const connections of this.#connections.values()) {
+      connections.closeIdle();
+    }
+  }
+
   stop(): void {
     clearInterval(this.#queueTimer);
     this.#reachMonitor.stop();
     this.#forwarder.stop();
-    for (const connections of this.#connections.values()) {
-      connections.closeIdle();
-    }
+    this.closeIdleConnections();
   }
 
   #start(request: GatewayRequest, nowMillis: number): void {
@@ -431,6 +439,7 @@
     let connections = this.#connections.get(address);
     if (connections === undefined) {
       connections = new TargetConnections(address, {
+        descriptors: this.#options.descriptors,
         onConnected: (tookMillis) =>
           this.#roundTrips.addSample(dataCentre, tookMillis),
       });
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -4,6 +4,7 @@
  * never reaches the caller.
  */
 import type { Dispatcher } from "undici";
+import { ByteCollector } from "./byte_collector.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import {
@@ -17,6 +18,7 @@
   NOT_RUN_STATUSES,
   type TargetAnswer,
 } from "./gateway_request.ts";
+import { ORDINARY_ANSWER_BYTES } from "./memory_costs.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Answers up to this size are buffered until they are complete; larger ones are streamed. */
@@ -29,6 +31,9 @@
 /** How long the body of a refusal may take, for the same reason. */
 const REFUSAL_BODY_TIMEOUT_MILLIS = 100;
 
+/** Buffers of a streamed answer whose caller reads slowly. */
+const STREAM_BUFFER_BYTES = 65_536;
+
 /** Result of one attempt. */
 export type AttemptEnd =
   | { kind: "answered"; answer: TargetAnswer; closesConnection: boolean }
@@ -129,15 +134,23 @@
   #closesConnection = false;
   #refusalTimer: NodeJS.Timeout | undefined;
   #retryAfterMillis: number | undefined;
-  #chunks: Buffer[] = [];
+  readonly #body: ByteCollector;
+  /** Buffers for the answer that may still be used without taking more memory. */
+  #freeBytes = ORDINARY_ANSWER_BYTES;
   #size = 0;
   #streaming = false;
+  /** Pieces of a streamed answer that are not written to the caller yet. */
+  #unforwarded: Buffer[] = [];
   /** False for an answer without a length that ends with its connection. */
   #framed = true;
 
   constructor(request: GatewayRequest, options: AttemptOptions) {
     this.#request = request;
     this.#options = options;
+    this.#body = new ByteCollector({
+      announcedBytes: 0,
+      reserve: (bytes) => this.#reserve(bytes),
+    });
   }
 
   start(): void {
@@ -257,8 +270,19 @@
       if (this.#size > MAX_REFUSAL_BYTES) this.#endUnfinishedRefusal();
       return;
     }
-    this.#chunks.push(chunk);
-    if (this.#size > MAX_BUFFERED_ANSWER_BYTES) this.#startStream();
+    if (this.#size > MAX_BUFFERED_ANSWER_BYTES || !this.#body.add(chunk)) {
+      this.#startStream(chunk);
+    }
+  }
+
+  /** Takes memory for the answer; returns false if there is not enough. */
+  #reserve(bytes: number): boolean {
+    const missingBytes = bytes - this.#freeBytes;
+    if (
+      missingBytes > 0 && !this.#request.memory.reserveBuffer(missingBytes)
+    ) return false;
+    this.#freeBytes = Math.max(0, -missingBytes);
+    return true;
   }
 
   onResponseEnd(): void {
@@ -281,15 +305,17 @@
       });
     }
     if (this.#streaming) {
+      this.#forwardChunks();
       this.#request.sink.end();
       return this.#end({ kind: "streamed", closesConnection });
     }
-    const body = this.#chunks.length === 1
-      ? this.#chunks[0]
-      : Buffer.concat(this.#chunks, this.#size);
     this.#end({
       kind: "answered",
-      answer: { status: this.#status, headers: this.#headers, body },
+      answer: {
+        status: this.#status,
+        headers: this.#headers,
+        body: this.#body.contents(),
+      },
       closesConnection,
     });
   }
@@ -375,7 +401,11 @@
     return "";
   }
 
-  #startStream(): void {
+  /**
+   * Forwards an answer that can't be buffered as it arrives: what was received so far,
+   * and `chunk`.
+   */
+  #startStream(chunk: Buffer): void {
     if (NOT_RUN_STATUSES.has(this.#status)) {
       // Callers would take the status for proof that the request did not run.
       return this.#end({
@@ -385,13 +415,29 @@
       });
     }
     this.#streaming = true;
+    const heldBytes = Math.max(0, STREAM_BUFFER_BYTES - this.#size);
+    this.#request.memory.take({ heapBytes: 0, bufferBytes: heldBytes });
     this.#request.sink.start(this.#status, this.#headers);
-    for (const chunk of this.#chunks) this.#forwardChunk(chunk);
-    this.#chunks = [];
+    const received = this.#body.contents();
+    if (received.byteLength > 0) this.#forwardChunk(received);
+    this.#forwardChunk(chunk);
   }
 
+  /** Forwards what one read from the connection brings as one piece. */
   #forwardChunk(chunk: Buffer): void {
-    if (this.#request.sink.write(chunk)) return;
+    this.#unforwarded.push(chunk);
+    if (this.#unforwarded.length > 1) return;
+    queueMicrotask(() => {
+      if (!this.#ended) this.#guard(() => this.#forwardChunks());
+    });
+  }
+
+  #forwardChunks(): void {
+    const chunks = this.#unforwarded;
+    if (chunks.length === 0) return;
+    this.#unforwarded = [];
+    const data = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+    if (this.#request.sink.write(data)) return;
     // What was read already still arrives after the pause.
     const { connection } = this.#options;
     if (!connection.pauseReading()) return;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -5,8 +5,8 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { BodyMemory } from "./body_memory.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
+import { DescriptorBudget } from "./descriptor_budget.ts";
 import {
   serveDirectory,
   serveReadiness,
@@ -16,7 +16,8 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GatewayState } from "./gateway_state.ts";
 import { listenWhenPossible } from "./listen.ts";
-import { MemoryMonitor } from "./memory_monitor.ts";
+import { MemoryBudget } from "./memory_budget.ts";
+import { MemoryMonitor, planMemory } from "./memory_monitor.ts";
 import { PeerTask } from "./peer_task.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { StallMonitor } from "./stall_monitor.ts";
@@ -35,6 +36,8 @@
 /** A running gateway. */
 export interface RunningGateway {
   state: GatewayState;
+  /** What the process holds for others. */
+  memory: MemoryBudget;
   /**
    * Resolves once the gateway listens on all addresses, or stops; rejects after an
    * error that doesn't pass.
@@ -46,13 +49,6 @@
   stop(): Promise<void>;
 }
 
-/**
- * Share of the process's memory for bodies of requests. The rest is for the heap, the
- * program, and what the system has received but the process has not read.
- */
-const BODY_MEMORY_SHARE = 0.35;
-/** Memory for bodies where the limit of the process isn't known. */
-const DEFAULT_BODY_MEMORY_BYTES = 134_217_728;
 /** Time after which a start that isn't over is logged, and then the interval of that. */
 const FIRST_REMINDER_MILLIS = 1000;
 const REMINDER_INTERVAL_MILLIS = 5000;
@@ -102,43 +98,43 @@
   };
   const state = new GatewayState(settings, log);
   const stallMonitor = new StallMonitor();
+  const memory = new MemoryBudget({ limits: planMemory(settings.memoryBytes) });
+  const descriptors = new DescriptorBudget(settings.maxSockets ?? Infinity);
   const runner = new RequestRunner({
     settings,
     dialect,
     state,
     stallMonitor,
+    descriptors,
     log,
     metrics,
     random: Math.random,
   });
-  const bodyMemory = new BodyMemory(
-    settings.memoryBytes === undefined
-      ? DEFAULT_BODY_MEMORY_BYTES
-      : settings.memoryBytes * BODY_MEMORY_SHARE,
-  );
-  const callers = new GatewayServer({
+  const serverOptions = {
     state,
     runner,
     stallMonitor,
     dialect,
     log,
-    bodyMemory,
-  });
+    memory,
+    descriptors,
+  };
+  const callers = new GatewayServer(serverOptions);
   const forwarded = new GatewayServer({
-    state,
-    runner,
-    stallMonitor,
-    dialect,
-    log,
-    bodyMemory,
+    ...serverOptions,
     servesEntries: true,
   });
   const callerServers = [callers, forwarded];
   const memoryMonitor = new MemoryMonitor({
+    memory,
     memoryBytes: settings.memoryBytes,
     log,
     metrics,
-    describe: () => ({ inFlight: runner.inFlight }),
+    describe: () => ({
+      connections: descriptors.callerCount,
+      targetConnections: descriptors.targetCount,
+      inFlight: runner.inFlight,
+    }),
   });
   const stateTask = new StateTask({
     store,
@@ -380,6 +376,7 @@
 
   return {
     state,
+    memory,
     listening,
     describeRequests: (max) => runner.describeActive(max),
     stop: () => stopped ??= stopGracefully(),
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -9,6 +9,7 @@
  */
 import { connect, type Socket } from "node:net";
 import { buildConnector, Client } from "undici";
+import type { DescriptorBudget } from "./descriptor_budget.ts";
 
 /** Timeout for a new connection; links between regions take a tenth of it. */
 const CONNECT_TIMEOUT_MILLIS = 1000;
@@ -267,6 +268,7 @@
   /** Connections that are no longer part of the open count. */
   readonly #removed = new WeakSet<TargetConnection>();
   readonly #onConnected: (tookMillis: number) => void;
+  readonly #descriptors: DescriptorBudget;
   #open = 0;
   /** Maximum idle time of a reused connection, until `#idleLimitEndsAtMillis`. */
   #idleLimitMillis = Infinity;
@@ -275,9 +277,13 @@
 
   constructor(
     address: string,
-    options: { onConnected: (tookMillis: number) => void },
+    options: {
+      descriptors: DescriptorBudget;
+      onConnected: (tookMillis: number) => void;
+    },
   ) {
     this.#address = address;
+    this.#descriptors = options.descriptors;
     this.#onConnected = options.onConnected;
   }
 
@@ -348,6 +354,7 @@
   #create(nowMillis: number): TargetConnection {
     if (this.#idle.length > MAX_UNUSABLE_IDLE) this.discard(this.#idle[0]);
     this.#open++;
+    this.#descriptors.targetCount++;
     const connection: TargetConnection = new TargetConnection(this.#address, {
       onClosed: () => this.#remove(connection),
       onConnected: () => this.#onConnected(performance.now() - nowMillis),
@@ -386,6 +393,7 @@
     if (this.#removed.has(connection)) return;
     this.#removed.add(connection);
     this.#open--;
+    this.#descriptors.targetCount--;
     if (!connection.client.destroyed) connection.close();
   }
 }
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -63,6 +63,11 @@
   bamboolane_resident_bytes: "Resident memory of the process.",
   bamboolane_heap_bytes: "Heap of V8 in use, with garbage.",
   bamboolane_heap_limit_bytes: "Heap of V8 at which the process ends.",
+  bamboolane_held_heap_bytes: "Heap that counts as held for others.",
+  bamboolane_held_buffer_bytes:
+    "Buffers and sockets that count as held for others.",
+  bamboolane_memory_refusals:
+    "Requests refused for lack of memory or descriptors since the start.",
 } as const;
 
 /** Name of a counter. */
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -289,6 +289,7 @@
       expiresAtMillis: call.deadlineAtMillis,
       fingerprint: "",
       sink: {} as GatewayRequest["sink"],
+      memory: {} as GatewayRequest["memory"],
       isForwarded: false,
       triedTargets: new Set(),
       triedEntries: new Set(),
