Bound what the clients of the metrics hold together

Cause: the metrics' server took any number of connections and requests, and collects and formats all metrics for each request.

The two new examples of packages/gateway/features/held_memory.feature failed before: 30 clients that pipeline requests kept the process busy for more than 30 s.

--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -54,10 +54,9 @@
 export async function startEntry(options: StartOptions): Promise<RunningEntry> {
   const { settings, log } = options;
   const metrics = options.metrics ??
-    await createMetrics(
-      settings.listen.metrics,
-      (error) => log.warn("metrics_failed", { error: error.message }),
-    );
+    await createMetrics(settings.listen.metrics, {
+      onError: (error) => log.warn("metrics_failed", { error: error.message }),
+    });
   const components = assembleEntry({ ...options, metrics });
   const {
     context,
--- a/packages/gateway/features/held_memory.feature
+++ b/packages/gateway/features/held_memory.feature
@@ -11,6 +11,7 @@
       | directory |
       | readiness |
       | state     |
+      | metrics   |
 
   Scenario Outline: Clients that never end a request don't take all connections of the <server>
     Given an open <server> server with a state of 1 MB
@@ -24,6 +25,7 @@
       | directory | 512         |
       | readiness | 64          |
       | state     | 640         |
+      | metrics   | 8           |
 
   Scenario: A part of a request is not waited for without end
     Given an open directory server with a state of 1 MB
--- a/packages/gateway/features/held_memory_steps.ts
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -12,7 +12,9 @@
   createNoopLogger,
   type EventLog,
 } from "@bamboolane/logger/create_logger";
+import { createMetrics } from "@bamboolane/metrics/create_metrics";
 import {
+  createMetricsServer,
   serveDirectory,
   serveReadiness,
   serveState,
@@ -46,12 +48,13 @@
 import { pause } from "./support/scenario.ts";
 import { testDialect, until, untilWithin } from "./support/test_gateway.ts";
 
-type ServerName = "directory" | "readiness" | "state";
+type ServerName = "directory" | "readiness" | "state" | "metrics";
 
 const PATHS: Record<ServerName, string> = {
   directory: `${testDialect.directoryPath}?region=a&place=a1`,
   readiness: testDialect.readinessPath,
   state: `${STATE_PATH}?operator=0&targets=0`,
+  metrics: "/metrics",
 };
 const SETTINGS: GatewaySettings = {
   instance: { id: "e0", dataCentre: "a1", region: "a" },
@@ -152,11 +155,25 @@
         break;
       case "state":
         server = await serveState(address, options);
+        break;
+      case "metrics":
+        await openMetrics(log);
     }
     beforeBytes = liveBytes();
   },
 );
 
+/** Opens the endpoint of metrics that have 2,000 label sets, the most that are counted. */
+async function openMetrics(log: EventLog): Promise<void> {
+  const metrics = await createMetrics(address, {
+    onError: (error) => assert.fail(error),
+    createServer: (answer) => server = createMetricsServer(log, answer),
+  });
+  for (let i = 0; i < 2000; i++) {
+    metrics.count("bamboolane_requests", 1, { service: `service-${i}` });
+  }
+}
+
 async function openClient(bytes: Buffer): Promise<void> {
   const [host, port] = address.split(":");
   const client = connect({ host, port: Number(port) });
--- a/packages/gateway/src/bounded_server.ts
+++ b/packages/gateway/src/bounded_server.ts
@@ -19,12 +19,14 @@
   /** Name of the server in the log. */
   name: string;
   maxConnections: number;
+  /** Maximum number of answers that a connection waits for; 16 unless given. */
+  maxOpenAnswers?: number;
   log: EventLog;
 }
 
 /** Maximum size of a request's head; Node.js answers 431 beyond it. */
 const MAX_HEAD_BYTES = 8192;
-/** Maximum number of answers that a connection waits for; it is closed beyond it. */
+/** A connection that waits for more answers is closed, unless the server has its own bound. */
 const MAX_OPEN_ANSWERS = 16;
 /**
  * Time for a request, and for an answer of which nothing is read; exceeds that for
@@ -78,7 +80,8 @@
     const { socket } = request;
     const answers = this.#openAnswers.get(socket);
     if (answers === undefined) return;
-    if (answers.size >= MAX_OPEN_ANSWERS) return this.#close(socket);
+    const { maxOpenAnswers = MAX_OPEN_ANSWERS } = this.#options;
+    if (answers.size >= maxOpenAnswers) return this.#close(socket);
     this.#openAnswers.delete(socket);
     this.#openAnswers.set(socket, answers);
     const release = answer(request, response);
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -1,12 +1,12 @@
 /**
  * HTTP servers besides the one for callers: the directory of entries, the
- * readiness check, and the state for the other entries.
+ * readiness check, the state for the other entries, and the metrics.
  */
 import type { Server, ServerResponse } from "node:http";
 import { selectEntries } from "@bamboolane/steering/select_entries";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { createBoundedServer } from "./bounded_server.ts";
+import { type AnswerRequest, createBoundedServer } from "./bounded_server.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import { listen } from "./listen.ts";
@@ -20,6 +20,9 @@
 const MAX_READINESS_CONNECTIONS = 64;
 /** After an outage of the store, all entries of the fleet may fetch at the same time. */
 const MAX_STATE_CONNECTIONS = 640;
+const MAX_METRICS_CONNECTIONS = 8;
+/** An answer may have a line for each label set, so that few may be open. */
+const MAX_METRICS_ANSWERS = 2;
 
 /** Options of {@link serveDirectory}. */
 export interface DirectoryOptions {
@@ -89,6 +92,19 @@
   return server;
 }
 
+/** Creates the server of the metrics, which `answer` writes. */
+export function createMetricsServer(
+  log: EventLog,
+  answer: AnswerRequest,
+): Server {
+  return createBoundedServer({
+    name: "metrics",
+    maxConnections: MAX_METRICS_CONNECTIONS,
+    maxOpenAnswers: MAX_METRICS_ANSWERS,
+    log,
+  }, answer);
+}
+
 /** Starts the server from which other entries read this one's state. */
 export async function serveState(
   address: string,
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -2,7 +2,7 @@
  * OpenTelemetry instruments of the process. Callers get plain functions, so
  * that decision code does not depend on a metrics library.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type RequestListener, type Server } from "node:http";
 import { MeterProvider } from "@opentelemetry/sdk-metrics";
 import { PrometheusExporter } from "@opentelemetry/exporter-prometheus";
 
@@ -91,14 +91,23 @@
   }
 }
 
-/** Serves the metrics at `address`; calls `onError` for errors after the start. */
+/** Options of {@link createMetrics}. */
+export interface MetricsOptions {
+  /** Called for errors of the endpoint after its start. */
+  onError: (error: Error) => void;
+  /** Creates the server of the endpoint; one without bounds unless given. */
+  createServer?: (answer: RequestListener) => Server;
+}
+
+/** Serves the metrics at `address`. */
 function serveMetrics(
   address: string,
-  options: { exporter: PrometheusExporter; onError: (error: Error) => void },
+  options: MetricsOptions & { exporter: PrometheusExporter },
 ): Promise<Server> {
   const { exporter, onError } = options;
   const [host, port] = address.split(":");
-  const server = createServer((request, response) => {
+  const create = options.createServer ?? createServer;
+  const server = create((request, response) => {
     const [path] = (request.url ?? "").split("?", 1);
     if (path === METRICS_PATH) {
       return exporter.getMetricsRequestHandler(request, response);
@@ -114,16 +123,13 @@
   });
 }
 
-/**
- * Starts the scrape endpoint at `address` and creates the instruments. `onError` is
- * called for errors of the endpoint after its start.
- */
+/** Starts the scrape endpoint at `address` and creates the instruments. */
 export async function createMetrics(
   address: string,
-  onError: (error: Error) => void,
+  options: MetricsOptions,
 ): Promise<Metrics> {
   const exporter = new PrometheusExporter({ preventServerStart: true });
-  const server = await serveMetrics(address, { exporter, onError });
+  const server = await serveMetrics(address, { ...options, exporter });
   const provider = new MeterProvider({ readers: [exporter] });
   const meter = provider.getMeter("bamboolane");
   const totalsByName = Object.fromEntries(
