Drop the ranking of senders with its target

Cause: an entry ranks all entries as senders to each cold or limited target, and kept the ranking by the target's id until the list of entries changed.

Change: it is kept as long as the state of the target.

--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -91,8 +91,11 @@
   #servicePickers = new Map<string, WeightedRoundRobin>();
   readonly #estimates = new Map<string, WorkTimeEstimate>();
   readonly #budgets = new Map<string, RetryBudget>();
-  /** Entries ranked as senders, by target; valid for one generation of the member list. */
-  readonly #senderRankings = new Map<string, SenderRanking>();
+  /**
+   * Entries ranked as senders, as long as the target exists; valid for one generation of
+   * the member list.
+   */
+  #senderRankings = new WeakMap<TargetState, SenderRanking>();
   #senderRankingsGeneration = 0;
   /** When the list of entries was first read. */
   #membersReadAtMillis = Infinity;
@@ -362,13 +365,12 @@
   #senderRanking(target: TargetState): SenderRanking {
     if (this.#senderRankingsGeneration !== this.members.generation) {
       this.#senderRankingsGeneration = this.members.generation;
-      this.#senderRankings.clear();
+      this.#senderRankings = new WeakMap();
     }
-    const { id } = target.record;
-    let ranking = this.#senderRankings.get(id);
+    let ranking = this.#senderRankings.get(target);
     if (ranking === undefined) {
       ranking = this.#rankSenders(target);
-      this.#senderRankings.set(id, ranking);
+      this.#senderRankings.set(target, ranking);
     }
     return ranking;
   }
