Take no table for empty that the peer has not read

Cause: an entry that starts while it can't reach the store fetches state from its peers. A peer that has read the configuration and not yet the targets sends its rows as the whole state, with 0 as the targets' version. The starting entry took that for a table without targets: it said that it was ready, and answered 503 for lack of targets until it read the store itself, which it then logged as a restore of the store.

Change: a table with the version 0 in a whole state is left as it is.

The scenario fails before (200 in place of 503) and passes.

--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -302,6 +302,15 @@
       | 503    | {"rows":[],"whole":1}  |
       | 200    | {"state":"serving"}    |
 
+  Scenario: An entry isn't ready while the only state it gets is from a peer that has read no targets
+    Given a target "t1" that answers
+    And an entry "e1"
+    And a peer that has read the configuration of "e1" and no targets
+    And an entry "e2" that can't reach the store, with that peer as seed
+    Then "e2" has the configuration within 3 s and isn't ready for 1 s
+    When the store recovers for "e2"
+    Then "e2" answers 200 to "/read/x" within 3 s
+
   Scenario: A restarted entry doesn't take back a target that left, or an evacuation that ended, from a peer that is behind
     Given a target "t1" that answers
     And a target "t2" that answers
--- a/packages/gateway/features/store_steps.ts
+++ b/packages/gateway/features/store_steps.ts
@@ -4,9 +4,15 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { request } from "undici";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import { call, gatewayOf, pause, world } from "./support/scenario.ts";
-import { testConfig, until, untilWithin } from "./support/test_gateway.ts";
+import {
+  testConfig,
+  testDialect,
+  until,
+  untilWithin,
+} from "./support/test_gateway.ts";
 
 /** Waits until an entry has applied the latest change in the store. */
 async function waitForState(
@@ -261,6 +267,21 @@
   },
 );
 
+Given(
+  "a peer that has read the configuration of {string} and no targets",
+  (entry: string) => {
+    const delta = gatewayOf(entry).state.latestRows.changesSince([0, 0]);
+    const [operator] = delta.versions;
+    const body = JSON.stringify({
+      rows: delta.rows.filter(({ kind }) => kind === "config"),
+      whole: delta.whole,
+      versions: [operator, 0],
+      completeTo: [operator, 0],
+    });
+    return startPeer({ status: 200, body, delayMillis: 0 });
+  },
+);
+
 Given(
   /^a peer that answers (\d+) with '(.*)'$/,
   (status: string, body: string) =>
@@ -328,6 +349,36 @@
     }),
 );
 
+Given(
+  "an entry {string} that can't reach the store, with that peer as seed",
+  (id: string) =>
+    world.system.addEntry(id, {
+      storeUnavailable: true,
+      seeds: [peerBehind?.address ?? ""],
+    }),
+);
+
+Then(
+  "{string} has the configuration within {int} s and isn't ready for {int} s",
+  async (entry: string, seconds: number, readySeconds: number) => {
+    const { state } = gatewayOf(entry);
+    await untilWithin(
+      () => state.config !== undefined,
+      { seconds, description: `${entry} has the configuration` },
+    );
+    const { readiness } = world.system.settings(entry).listen;
+    const endMillis = performance.now() + readySeconds * 1000;
+    while (performance.now() < endMillis) {
+      const { statusCode, body } = await request(
+        `http://${readiness}${testDialect.readinessPath}`,
+      );
+      await body.dump();
+      assert.equal(statusCode, 503);
+      await pause(50);
+    }
+  },
+);
+
 When("the record of {string} is removed", async (id: string) => {
   world.system.store.put(StateTable.targets, {
     kind: "target",
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -263,14 +263,15 @@
     const nowMillis = performance.now();
     const [operator, targets] = completeTo;
     if (whole) {
-      state.applySnapshot(StateTable.operator, rows, {
-        version: operator,
-        nowMillis,
-      });
-      state.applySnapshot(StateTable.targets, rows, {
-        version: targets,
-        nowMillis,
-      });
+      const tables = [
+        [StateTable.operator, operator],
+        [StateTable.targets, targets],
+      ] as const;
+      for (const [table, version] of tables) {
+        // The sender has not read the table yet.
+        if (version === 0) continue;
+        state.applySnapshot(table, rows, { version, nowMillis });
+      }
     } else {
       state.apply(rows, nowMillis);
       state.latestRows.recordComplete(completeTo);
