Mend what the review of the bounded memory found

Cause: the budget counted bytes that were read and not what they were for, and shedding looked for callers without progress only.

Change: pieces of dropped bodies are accounted as they come; heads and trailers beyond the limit of a head close their connection; beyond the limit those with the most unparsed bytes go first; a few bytes are no progress; a request that was refused is not run; after a stall of the entry callers get their time anew; idle connections to targets are closed before a request is refused for lack of sockets.

--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -102,6 +102,10 @@
     socket.write(answer + answer);
   },
   "never answers": () => new Promise<void>(() => {}),
+  "answers after 1500 ms": async (received, socket) => {
+    await pause(1500);
+    answerValidly(received, socket);
+  },
   "answers with 200 kB": (received, socket) => {
     const body = "x".repeat(200_000);
     socket.write(formatResponse(200, signedHeaders(received), body));
--- a/packages/gateway/features/memory_limit_steps.ts
+++ b/packages/gateway/features/memory_limit_steps.ts
@@ -22,12 +22,35 @@
 /** Longer than what a connection of the system itself holds. */
 const ANSWER_TIMEOUT_MILLIS = 15_000;
 const POLL_MILLIS = 20;
+/** A later revision than that of other steps. */
+const REVISION = 20;
+const HALF_BODY = "01234";
+/** Time in which the pieces of slow trailers come. */
+const TRAILER_PIECES = 20;
+const TRAILER_INTERVAL_MILLIS = 60;
 
 Given(
   "an entry {string} that may open {int} sockets",
   (id: string, maxSockets: number) => world.system.addEntry(id, { maxSockets }),
 );
 
+Given("idle callers are waited for {int} ms", (idleTimeoutMillis: number) => {
+  const config = testConfig(REVISION);
+  world.system.publish({
+    ...config,
+    limits: { ...config.limits, idleTimeoutMillis },
+  });
+});
+
+Given(
+  "an entry {string} with {int} kB of memory that may open {int} sockets",
+  (id: string, kilobytes: number, maxSockets: number) =>
+    world.system.addEntry(id, {
+      memoryBytes: kilobytes * BYTES_PER_KILOBYTE,
+      maxSockets,
+    }),
+);
+
 function connectCallers(count: number, entry: string): void {
   raw.callers = Array.from({ length: count }, () => connectTo(entry));
 }
@@ -115,6 +138,71 @@
   },
 );
 
+When(
+  "a caller of {string} gets {string} and sends half of a body for {string}, and the rest after {int} ms",
+  async (entry: string, first: string, second: string, millis: number) => {
+    connectCallers(1, entry);
+    const [caller] = raw.callers;
+    send(caller, first);
+    send(caller, second, {
+      method: "POST",
+      headers: `Content-Length: ${2 * HALF_BODY.length}\r\n`,
+      body: HALF_BODY,
+    });
+    await pause(millis);
+    caller.socket.write(HALF_BODY);
+  },
+);
+
+When(
+  "a caller of {string} gets {string} and sends {int} kB for {string}",
+  (entry: string, first: string, kilobytes: number, second: string) => {
+    connectCallers(1, entry);
+    const [caller] = raw.callers;
+    const bytes = kilobytes * BYTES_PER_KILOBYTE;
+    send(caller, first);
+    send(caller, second, {
+      method: "POST",
+      headers: `Content-Length: ${bytes}\r\n`,
+      body: "b".repeat(bytes),
+    });
+  },
+);
+
+When(
+  "{int} callers of {string} send a body for {string} with {int} kB of trailers, slowly",
+  { timeout: ANSWER_TIMEOUT_MILLIS },
+  async (callers: number, entry: string, path: string, kilobytes: number) => {
+    connectCallers(callers, entry);
+    for (const caller of raw.callers) {
+      const headers = "Transfer-Encoding: chunked\r\n";
+      const body = "1\r\nb\r\n0\r\n";
+      send(caller, path, { method: "POST", headers, body });
+    }
+    const piece = padding(kilobytes * BYTES_PER_KILOBYTE / TRAILER_PIECES);
+    for (let i = 0; i < TRAILER_PIECES; i++) {
+      for (const { socket } of raw.callers) socket.write(piece);
+      await pause(TRAILER_INTERVAL_MILLIS);
+    }
+  },
+);
+
+Then(
+  "the caller's answers are {int} and {int}",
+  async (first: number, second: number) => {
+    const [caller] = raw.callers;
+    await until(() => caller.closed, "the connection is closed");
+    assert.deepEqual(answersOf(caller).map(statusOf), [first, second]);
+  },
+);
+
+Then("only the first of its requests reached a target", () => {
+  const received = [...world.system.targets.values()]
+    .flatMap((target) => target.received);
+  const ids = received.map(({ headers }) => headers["test-request"]);
+  assert.deepEqual(ids, [raw.callers[0].sentIds[0]]);
+});
+
 function isRefusal(answer: string): boolean {
   return statusOf(answer) === 503 && /^retry-after: /im.test(answer);
 }
--- a/packages/gateway/features/memory_limits.feature
+++ b/packages/gateway/features/memory_limits.feature
@@ -52,6 +52,33 @@
     Then the memory of "e1" is within its limit after 1200 ms
     And a caller of "e1" that gets "/read/x" gets 200
 
+  Scenario: Connections that are turned away leave no memory behind
+    Given a target "t1" that answers
+    And an entry "e1" with 4000 kB of memory that may open 100 sockets
+    When 300 callers connect to "e1", and the last 1 of them send a request for "/read/x"
+    Then no memory is held for callers of "e1"
+
+  Scenario: A request that was answered 408 is not run when the rest of its body comes
+    Given idle callers are waited for 300 ms
+    And a target "t1" that answers after 1500 ms
+    And an entry "e1"
+    When a caller of "e1" gets "/batch/x" and sends half of a body for "/batch/y", and the rest after 1000 ms
+    Then the caller's answers are 200 and 408
+    And only the first of its requests reached a target
+
+  Scenario: A body that is refused as too large is not held
+    Given a target "t1" that answers after 400 ms
+    And an entry "e1" with 16000 kB of memory
+    When a caller of "e1" gets "/batch/x" and sends 8000 kB for "/batch/y"
+    Then the memory of "e1" is within its limit after 300 ms
+
+  Scenario: Trailers that come slowly don't fill the memory
+    Given a target "t1" that answers
+    And an entry "e1" with 16000 kB of memory
+    When 100 callers of "e1" send a body for "/batch/x" with 60 kB of trailers, slowly
+    Then the memory of "e1" is within its limit after 300 ms
+    And a caller of "e1" that gets "/read/x" gets 200
+
   Scenario: A body in small pieces takes no more than its bytes
     Then a body of 60 kB in pieces of 1 byte takes less than 200 kB once it is read
 
--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -18,11 +18,14 @@
 const LINGER_MILLIS = 1000;
 
 /**
- * Requests behind the last one that is answered after which the connection is reset:
- * they would stay in memory until then.
+ * Requests behind the last one that is answered after which the connection is reset
+ * where memory is short: they would stay in memory until then.
  */
 const MAX_DROPPED_REQUESTS = 256;
 
+/** Bytes that count as progress of a caller that sends slowly. */
+const MIN_PROGRESS_BYTES = 256;
+
 /** Why the requests of a connection are refused. */
 export type Lack = "no-memory" | "no-descriptor";
 
@@ -89,7 +92,8 @@
       // It stays in memory until the answers before it are sent.
       this.#memory.take(ANSWERED_REQUEST_COST);
       this.discardInput();
-      if (++this.#droppedCount > MAX_DROPPED_REQUESTS) this.reset();
+      const isFlood = ++this.#droppedCount > MAX_DROPPED_REQUESTS;
+      if (isFlood && this.#memory.isExceeded) this.reset();
       return false;
     }
     this.#latest = { request, response };
@@ -155,6 +159,8 @@
     this.#discardsInput = true;
     this.#socket.removeAllListeners("data");
     this.#socket.on("data", () => {});
+    // The parser, left within a request, takes the caller's close for a fault.
+    this.#socket.once("end", () => this.#socket.end());
     this.#socket.resume();
   }
 
@@ -174,19 +180,33 @@
    * to read an answer; 0 if it doesn't. Called periodically.
    */
   waitedForCallerMillis(nowMillis: number): number {
-    const readBytes = this.#socket.bytesRead;
     const unsentBytes = this.#socket.writableLength;
     const isWaiting = unsentBytes > 0 || this.incomplete !== undefined ||
       this.unparsedBytes > 0;
+    const newBytes = this.#socket.bytesRead - this.#progress.readBytes;
     if (
-      !isWaiting || readBytes !== this.#progress.readBytes ||
+      !isWaiting || newBytes >= MIN_PROGRESS_BYTES ||
       unsentBytes !== this.#progress.unsentBytes
     ) {
-      this.#progress = { readBytes, unsentBytes, atMillis: nowMillis };
+      this.recordProgress(nowMillis);
     }
     return nowMillis - this.#progress.atMillis;
   }
 
+  /** Starts the time for which the entry waits for the caller anew. */
+  recordProgress(nowMillis: number): void {
+    this.#progress = {
+      readBytes: this.#socket.bytesRead,
+      unsentBytes: this.#socket.writableLength,
+      atMillis: nowMillis,
+    };
+  }
+
+  /** True if a part of a head was read, and nothing of its request is answered. */
+  get hasPartialHead(): boolean {
+    return this.unparsedBytes > 0 && this.#latest?.request.complete !== false;
+  }
+
   /** True if the caller has to read before more can be sent. */
   get hasUnsentAnswer(): boolean {
     return this.#socket.writableLength > 0;
@@ -212,7 +232,10 @@
     response: ServerResponse;
   } | undefined {
     const latest = this.#latest;
-    if (latest === undefined || latest.request.complete) return undefined;
+    if (
+      latest === undefined || latest.request.complete ||
+      latest.response.writableEnded
+    ) return undefined;
     return this.pending.has(latest.response) ? latest : undefined;
   }
 
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -15,6 +15,8 @@
   memory: MemoryBudget;
   descriptors: DescriptorBudget;
   log: EventLog;
+  /** Maximum size of a head. */
+  maxHeadBytes: () => number;
   /** How long a caller may take at most to send more of a request. */
   idleTimeoutMillis: () => number;
   /** Refuses the request that is being received on a connection, and closes that. */
@@ -22,9 +24,11 @@
 }
 
 /** Why a connection that waits for its caller is closed. */
-export type ShedCause = "caller-timeout" | "no-memory";
+export type ShedCause = "caller-timeout" | "no-memory" | "header too large";
 
 const CHECK_INTERVAL_MILLIS = 200;
+/** Checks that were missed after which the process counts as stalled. */
+const STALL_CHECKS = 3;
 /** Load of the memory from which waiting connections are closed. */
 const SHEDDING_LOAD = 0.8;
 /** Load from which new connections are closed at once, since refusals need memory too. */
@@ -39,6 +43,7 @@
   readonly #options: CallerConnectionsOptions;
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #timer: NodeJS.Timeout;
+  #checkedAtMillis = performance.now();
   /** Memory of the heads and trailers that are not complete. */
   #partialHeads: MemoryAmount = { heapBytes: 0, bufferBytes: 0 };
 
@@ -69,6 +74,8 @@
     const share = memory.open();
     const hasMemory = share.reserve(CONNECTION_COST);
     if (descriptors.isFull || !hasMemory && memory.load > MAX_LOAD) {
+      share.close();
+      memory.refusalCount++;
       socket.destroy();
       return undefined;
     }
@@ -93,18 +100,33 @@
   }
 
   #check(): void {
-    const { memory, idleTimeoutMillis } = this.#options;
+    const { memory, idleTimeoutMillis, maxHeadBytes } = this.#options;
     const nowMillis = performance.now();
+    const wasStalled =
+      nowMillis - this.#checkedAtMillis > STALL_CHECKS * CHECK_INTERVAL_MILLIS;
+    this.#checkedAtMillis = nowMillis;
+    const maxUnparsedBytes = maxHeadBytes();
     let partialBytes = 0;
     const waiting: WaitingConnection[] = [];
     for (const [socket, connection] of this.#connections) {
-      partialBytes += connection.unparsedBytes;
+      const { unparsedBytes } = connection;
+      // What callers sent meanwhile has not been read yet.
+      if (wasStalled) connection.recordProgress(nowMillis);
+      if (unparsedBytes > maxUnparsedBytes) {
+        const entry = { socket, connection, waitedMillis: 0, unparsedBytes };
+        this.#shed(entry, "header too large");
+        continue;
+      }
+      partialBytes += unparsedBytes;
       const waitedMillis = connection.waitedForCallerMillis(nowMillis);
-      if (waitedMillis > 0) waiting.push({ socket, connection, waitedMillis });
+      if (waitedMillis > 0 || unparsedBytes > 0) {
+        waiting.push({ socket, connection, waitedMillis, unparsedBytes });
+      }
     }
     this.#countPartialHeads(partialBytes);
     const maxWaitMillis = idleTimeoutMillis();
-    if (memory.load < SHEDDING_LOAD) {
+    const isScarce = memory.load >= SHEDDING_LOAD || memory.suspended;
+    if (!isScarce) {
       for (const entry of waiting) {
         // Only large pieces of an answer show whether its caller reads.
         const isSlow = entry.waitedMillis >= maxWaitMillis;
@@ -114,11 +136,16 @@
       }
       return;
     }
-    waiting.sort((a, b) => b.waitedMillis - a.waitedMillis);
+    const isOver = memory.load > 1 || memory.suspended;
+    waiting.sort((a, b) =>
+      isOver
+        ? b.unparsedBytes - a.unparsedBytes || b.waitedMillis - a.waitedMillis
+        : b.waitedMillis - a.waitedMillis
+    );
     const maxCount = Math.ceil(waiting.length * SHED_SHARE);
     for (const entry of waiting.slice(0, maxCount)) {
-      if (memory.load < SHEDDING_LOAD) return;
-      if (entry.waitedMillis >= MIN_WAIT_MILLIS || memory.load > 1) {
+      if (memory.load < SHEDDING_LOAD && !memory.suspended) return;
+      if (entry.waitedMillis >= MIN_WAIT_MILLIS || isOver) {
         this.#shed(entry, "no-memory");
       }
     }
@@ -131,26 +158,32 @@
     memory.take(this.#partialHeads);
   }
 
+  /** Returns the memory of a head before the next check counts what is left. */
+  #releasePartialHead(bytes: number): void {
+    const cost = partialHeadCost(bytes);
+    this.#options.memory.release(cost);
+    this.#partialHeads = {
+      heapBytes: this.#partialHeads.heapBytes - cost.heapBytes,
+      bufferBytes: this.#partialHeads.bufferBytes - cost.bufferBytes,
+    };
+  }
+
   #shed(
-    { socket, connection, waitedMillis }: WaitingConnection,
+    { socket, connection, waitedMillis, unparsedBytes }: WaitingConnection,
     cause: ShedCause,
   ): void {
     const { memory, log, onShed } = this.#options;
-    const partialBytes = connection.unparsedBytes;
     log.warn("caller_shed", {
       cause,
       waitedMillis: Math.round(waitedMillis),
       unsentBytes: socket.writableLength,
-      unparsedBytes: partialBytes,
+      unparsedBytes,
       openAnswers: connection.pending.size,
       memoryLoad: Math.round(memory.load * 100) / 100,
     });
     if (connection.hasUnsentAnswer) connection.reset();
     else onShed(socket, cause);
-    const { heapBytes, bufferBytes } = partialHeadCost(partialBytes);
-    memory.release({ heapBytes, bufferBytes });
-    this.#partialHeads.heapBytes -= heapBytes;
-    this.#partialHeads.bufferBytes -= bufferBytes;
+    if (cause === "no-memory") this.#releasePartialHead(unparsedBytes);
   }
 }
 
@@ -159,6 +192,7 @@
   socket: Socket;
   connection: CallerConnection;
   waitedMillis: number;
+  unparsedBytes: number;
 }
 
 function findLack(
--- a/packages/gateway/src/descriptor_budget.ts
+++ b/packages/gateway/src/descriptor_budget.ts
@@ -37,6 +37,12 @@
     return this.callerCount >= this.#maxSockets * MAX_CALLERS_SHARE;
   }
 
+  /** True if there is room for the requests in flight beside all idle connections. */
+  hasAmpleRoom(inFlight: number): boolean {
+    return this.callerCount + this.targetCount + inFlight <
+      this.#maxSockets * (1 - RESERVED_SHARE);
+  }
+
   /** True if each of the requests in flight can have a connection to a target. */
   hasRoomForRequest(inFlight: number): boolean {
     return this.callerCount + Math.max(inFlight, this.targetCount) <
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -89,6 +89,12 @@
  * so that a few callers that pipeline leave memory for all others.
  */
 const PIPELINED_SHARE = 0.4;
+/** Statuses of requests that were not received whole. */
+const SHED_STATUS = {
+  "caller-timeout": 408,
+  "no-memory": 503,
+  "header too large": 431,
+} as const satisfies Record<ShedCause, number>;
 /** Limits until a configuration is known. */
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -109,6 +115,7 @@
     this.#options = options;
     this.#connections = new CallerConnections({
       ...options,
+      maxHeadBytes: () => this.#limits().headerBytes,
       idleTimeoutMillis: () => this.#limits().idleTimeoutMillis,
       onShed: (socket, cause) => this.#rejectIncomplete(socket, cause),
     });
@@ -329,6 +336,8 @@
       memory,
       onPiece: () => connection.recordPiece(),
     });
+    // It was refused while its body was read.
+    if (response.writableEnded) return;
     if (bodyResult.kind === "no-memory") {
       return this.#refuseForLack(request, response, {
         connection,
@@ -336,8 +345,8 @@
       });
     }
     if (bodyResult.kind === "too-large") {
-      dropBody(request);
       connection.closeAfterPending();
+      connection.discardInput();
       return this.#reject(request, response, {
         status: 413,
         reason: "body too large",
@@ -412,9 +421,12 @@
 
   #findDescriptorLack(): Lack | undefined {
     const { descriptors, runner } = this.#options;
-    if (descriptors.hasRoomForRequest(runner.inFlight)) return undefined;
+    const { inFlight } = runner;
+    if (descriptors.hasAmpleRoom(inFlight)) return undefined;
     runner.closeIdleConnections();
-    return "no-descriptor";
+    return descriptors.hasRoomForRequest(inFlight)
+      ? undefined
+      : "no-descriptor";
   }
 
   /**
@@ -434,7 +446,6 @@
       reason: lack,
       bodyBytes: Number(headers["content-length"] ?? 0),
     });
-    dropBody(request);
     connection.closeAfterPending();
     connection.discardInput();
     this.#writeOwnAnswer(request, response, {
@@ -456,11 +467,12 @@
         lack: cause,
       });
     }
+    const status = SHED_STATUS[cause];
     if (incomplete !== undefined) {
-      dropBody(incomplete.request);
       connection.closeAfterPending();
+      connection.discardInput();
       return this.#reject(incomplete.request, incomplete.response, {
-        status: 408,
+        status,
         reason: cause,
       });
     }
@@ -468,11 +480,10 @@
       connection.closeAfterPending();
       return connection.discardInput();
     }
+    // Nothing waits for an answer.
+    if (!connection.hasPartialHead) return connection.end();
     if (cause === "no-memory") this.#options.memory.refusalCount++;
-    this.#rejectHead(socket, {
-      status: cause === "no-memory" ? 503 : 408,
-      reason: cause,
-    });
+    this.#rejectHead(socket, { status, reason: cause });
   }
 
   /** Answers a request whose head was not read, and closes the connection. */
@@ -560,9 +571,17 @@
         answer.status === 503 ? "refused" : "failed",
       ),
     });
+    if (!request.complete) this.#dropBody(request);
     dropHead(request);
   }
 
+  /** Reads the rest of a body without keeping it. */
+  #dropBody(request: IncomingMessage): void {
+    const connection = this.#connections.get(request.socket);
+    request.removeAllListeners("data");
+    request.on("data", () => connection?.recordPiece());
+  }
+
   /**
    * Answers a request that the parser rejected. If its head was not read, the
    * connection closes after the answers that are pending instead: the rejection would
@@ -598,12 +617,6 @@
     request.socket.readableEnded;
 }
 
-/** Reads the rest of a body without keeping it. */
-function dropBody(request: IncomingMessage): void {
-  request.removeAllListeners("data");
-  request.resume();
-}
-
 /** Releases the fields of a request that is answered but may wait to be sent. */
 function dropHead(request: IncomingMessage): void {
   request.rawHeaders = [];
--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -152,6 +152,11 @@
     return true;
   }
 
+  /** True if more is held than the limit of the process. */
+  get isExceeded(): boolean {
+    return this.#budget.load > 1;
+  }
+
   /** Counts memory that is held already. */
   take(amount: MemoryAmount): void {
     if (this.#isClosed) return;
