--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -10,7 +10,7 @@
   isStoreFollower,
 } from "@bamboolane/steering/elect_entries";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { fetchPeerState } from "./fetch_peer_state.ts";
+import { fetchPeerState, PeerAnswerMemory } from "./fetch_peer_state.ts";
 import { TableFollower } from "./table_follower.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import type { KnownState, RowDelta } from "./latest_rows.ts";
@@ -55,6 +55,7 @@
 /** Task that owns the table followers. */
 export class StateTask {
   readonly #options: StateTaskOptions;
+  readonly #answerMemory = new PeerAnswerMemory();
   readonly #operatorFollower: TableFollower;
   readonly #targetsFollower: TableFollower;
   /** When a peer was first seen to have newer rows, since rows were last applied. */
@@ -234,6 +235,7 @@
     const delta = await fetchPeerState(address, {
       completeTo: state.latestRows.completeTo,
       revision: state.config?.revision ?? 0,
+      memory: this.#answerMemory,
       log,
     });
     this.#fetching = false;
@@ -263,14 +265,15 @@
     const nowMillis = performance.now();
     const [operator, targets] = completeTo;
     if (whole) {
-      state.applySnapshot(StateTable.operator, rows, {
-        version: operator,
-        nowMillis,
-      });
-      state.applySnapshot(StateTable.targets, rows, {
-        version: targets,
-        nowMillis,
-      });
+      const tables = [
+        [StateTable.operator, operator],
+        [StateTable.targets, targets],
+      ] as const;
+      for (const [table, version] of tables) {
+        // The sender has not read the table yet.
+        if (version === 0) continue;
+        state.applySnapshot(table, rows, { version, nowMillis });
+      }
     } else {
       state.apply(rows, nowMillis);
       state.latestRows.recordComplete(completeTo);
