Count what a streamed answer holds for a slow caller

Cause: a stream counted with 64 KB less what had been received before it began, though a piece to write and one that was read after it stay as well. With answers of 400 KB that callers don't read, on 1,000 connections, 296 MB of 350 were resident.

Change: 128 KB beside what was received.

--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -31,8 +31,11 @@
 /** How long the body of a refusal may take, for the same reason. */
 const REFUSAL_BODY_TIMEOUT_MILLIS = 100;
 
-/** Buffers of a streamed answer whose caller reads slowly. */
-const STREAM_BUFFER_BYTES = 65_536;
+/**
+ * Buffers of a streamed answer whose caller reads slowly, besides what was received when
+ * it began: a piece to write, and one that was read after it.
+ */
+const STREAM_BUFFER_BYTES = 131_072;
 
 /** Result of one attempt. */
 export type AttemptEnd =
@@ -415,8 +418,10 @@
       });
     }
     this.#streaming = true;
-    const heldBytes = Math.max(0, STREAM_BUFFER_BYTES - this.#size);
-    this.#request.memory.take({ heapBytes: 0, bufferBytes: heldBytes });
+    this.#request.memory.take({
+      heapBytes: 0,
+      bufferBytes: STREAM_BUFFER_BYTES,
+    });
     this.#request.sink.start(this.#status, this.#headers);
     const received = this.#body.contents();
     if (received.byteLength > 0) this.#forwardChunk(received);
