Leave memory for requests with ordinary heads

Cause: the first requests of the 1,500 connections took all the memory for requests by themselves; only pipelined ones were limited to a share.

Change: a request with a head above 4 KB may take memory up to 85% of the limit; the rest is for requests with ordinary heads.

--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -89,6 +89,10 @@
  * so that a few callers that pipeline leave memory for all others.
  */
 const PIPELINED_SHARE = 0.4;
+/** Head above which a request leaves memory for those with ordinary heads. */
+const LARGE_HEAD_BYTES = 4096;
+/** Share of the memory that may be taken for a request with a large head. */
+const LARGE_HEADS_SHARE = 0.85;
 /** Statuses of requests that were not received whole. */
 const SHED_STATUS = {
   "caller-timeout": 408,
@@ -283,7 +287,7 @@
         reason: "header too large",
       });
     }
-    const share = connection.pending.size > 1 ? PIPELINED_SHARE : 1;
+    const share = shareOf(headBytes, connection);
     if (!memory.reserve(requestCost(request, headBytes), share)) {
       return this.#refuseForLack(request, response, {
         connection,
@@ -608,6 +612,12 @@
   }
 }
 
+/** Share of the memory that may be taken for a request. */
+function shareOf(headBytes: number, connection: CallerConnection): number {
+  if (connection.pending.size > 1) return PIPELINED_SHARE;
+  return headBytes > LARGE_HEAD_BYTES ? LARGE_HEADS_SHARE : 1;
+}
+
 /** True if the caller closed its connection, or its sending side of it. */
 function hasDisconnected(
   request: IncomingMessage,
