Accept connections that wait before more is read

Under pressure, callers got no answer within 1.8 s; beside 400 callers with bodies in chunks of one byte, another one got none within 5 s.

Cause: Node.js accepts one connection in each turn of the event loop, and reads all that have data in the same turn. Heads and pieces that take long to parse make turns of up to seconds, so that new callers wait for as long as the queue has connections; the stop gave up after 250 ms.

Change: InputPacer. Once callers were read for 25 ms in a turn, or turns have accepted connections for as long while few requests are open, nothing is read until those that wait are accepted, within the bounds of memory and descriptors; then the callers that sent least are read first, and the others as turns are short. The stop does the same before it closes the listener, within a third of the time left for answers, and reads once what callers have sent. A request that could not be read in time gets 503 no-time with a Retry-After, no longer 408. Callers that wait are also closed where descriptors are scarce. The queue has 4,096 places.

Forms that accepted all connections first were dropped: they doubled the sends there, and took the memory for refusals.

--- a/packages/gateway/features/ending_steps.ts
+++ b/packages/gateway/features/ending_steps.ts
@@ -19,6 +19,8 @@
 import { until, untilWithin } from "./support/test_gateway.ts";
 
 const PIPELINE_INTERVAL_MILLIS = 50;
+/** Time from the start of a stop until the listener closes. */
+const LAME_DUCK_MILLIS = 2500;
 const STALL_MILLIS = 60;
 const SLOW_READ_MILLIS = 300;
 
@@ -168,20 +170,44 @@
   assert.equal(dechunked.length, 400_000);
 });
 
+/** Callers connect in a stall, and turns of the event loop take some time after it. */
+async function connectInStall(
+  entry: string,
+  { count, turnMillis }: { count: number; turnMillis: number },
+): Promise<void> {
+  const { graceMillis } = world.system.settings(entry);
+  const stopped = gatewayOf(entry).stop();
+  const closesAfterMillis = Math.min(LAME_DUCK_MILLIS, graceMillis / 2);
+  await pause(closesAfterMillis - STALL_MILLIS / 2);
+  raw.callers = Array.from({ length: count }, () => connectTo(entry));
+  for (const caller of raw.callers) send(caller, "/read/x");
+  spin(STALL_MILLIS);
+  let isOver = false;
+  const slowDown = () => {
+    spin(turnMillis);
+    if (!isOver) setImmediate(slowDown);
+  };
+  if (turnMillis > 0) slowDown();
+  await stopped;
+  await Promise.all(raw.callers.map(untilClosed));
+  isOver = true;
+}
+
+function spin(millis: number): void {
+  const endMillis = performance.now() + millis;
+  while (performance.now() < endMillis);
+}
+
 When(
   "{int} callers of {string} connect and send a request in a stall at whose end its listener closes",
-  async (count: number, entry: string) => {
-    const { graceMillis } = world.system.settings(entry);
-    const stopped = gatewayOf(entry).stop();
-    // The listener closes after half of the grace period, or 2.5 s.
-    await pause(graceMillis / 2 - STALL_MILLIS / 2);
-    raw.callers = Array.from({ length: count }, () => connectTo(entry));
-    for (const caller of raw.callers) send(caller, "/read/x");
-    const endMillis = performance.now() + STALL_MILLIS;
-    while (performance.now() < endMillis);
-    await stopped;
-    await Promise.all(raw.callers.map(untilClosed));
-  },
+  (count: number, entry: string) =>
+    connectInStall(entry, { count, turnMillis: 0 }),
+);
+
+When(
+  "{int} callers of {string} connect and send a request in a stall at whose end its listener closes, and turns of the event loop take {int} ms",
+  (count: number, entry: string, turnMillis: number) =>
+    connectInStall(entry, { count, turnMillis }),
 );
 
 When(
--- a/packages/gateway/features/stop.feature
+++ b/packages/gateway/features/stop.feature
@@ -40,6 +40,12 @@
     When 20 callers of "e1" connect and send a request in a stall at whose end its listener closes
     Then each caller got an answer
 
+  Scenario: A slow event loop resets no connections that wait when the listener closes
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 8 s
+    When 200 callers of "e1" connect and send a request in a stall at whose end its listener closes, and turns of the event loop take 2 ms
+    Then each caller got an answer
+
   Scenario: A malformed request doesn't cut off the answers of those before it
     Given a target "t1" that answers after 200 ms
     And an entry "e1"
--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -26,8 +26,11 @@
 /** Bytes that count as progress of a caller that sends slowly. */
 const MIN_PROGRESS_BYTES = 256;
 
+/** Time after which bytes that were read count half. */
+const RECENT_HALF_LIFE_MILLIS = 5000;
+
 /** Why the requests of a connection are refused. */
-export type Lack = "no-memory" | "no-descriptor";
+export type Lack = "no-memory" | "no-descriptor" | "no-time";
 
 /** Options of {@link CallerConnection}. */
 export interface CallerConnectionOptions {
@@ -64,6 +67,8 @@
   #lastAnswer: ServerResponse | undefined;
   /** The request whose head was read last, with its answer. */
   #latest: { request: IncomingMessage; response: ServerResponse } | undefined;
+  /** What was read up to a time, weighted by its age then. */
+  #recent = { weightedBytes: 0, readBytes: 0, atMillis: performance.now() };
   /** Bytes read and not yet sent when the connection last made progress. */
   #progress = { readBytes: 0, unsentBytes: 0, atMillis: performance.now() };
 
@@ -164,6 +169,29 @@
     this.#socket.resume();
   }
 
+  /** Reads nothing until {@link resumeInput}. */
+  pauseInput(): void {
+    this.#socket.pause();
+  }
+
+  /** Goes on reading. */
+  resumeInput(): void {
+    this.#socket.resume();
+  }
+
+  /** Bytes that were read lately; older ones count less. */
+  recentBytes(nowMillis: number): number {
+    const { bytesRead } = this.#socket;
+    const { weightedBytes, readBytes, atMillis } = this.#recent;
+    const weight = 0.5 ** ((nowMillis - atMillis) / RECENT_HALF_LIFE_MILLIS);
+    this.#recent = {
+      weightedBytes: weightedBytes * weight + bytesRead - readBytes,
+      readBytes: bytesRead,
+      atMillis: nowMillis,
+    };
+    return this.#recent.weightedBytes;
+  }
+
   /** Records that a piece of a body was read. */
   recordPiece(): void {
     this.#parsedBytes = this.#socket.bytesRead;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -21,10 +21,12 @@
   idleTimeoutMillis: () => number;
   /** Refuses the request that is being received on a connection, and closes that. */
   onShed: (socket: Socket, cause: ShedCause) => void;
+  /** True if callers waited within the given time to be read. */
+  hasPausedWithin: (millis: number) => boolean;
 }
 
 /** Why a connection that waits for its caller is closed. */
-export type ShedCause = "caller-timeout" | "no-memory" | "header too large";
+export type ShedCause = Lack | "caller-timeout" | "header too large";
 
 const CHECK_INTERVAL_MILLIS = 200;
 /** Checks that were missed after which the process counts as stalled. */
@@ -61,6 +63,10 @@
     return this.#connections.get(socket);
   }
 
+  entries(): IterableIterator<[Socket, CallerConnection]> {
+    return this.#connections.entries();
+  }
+
   values(): IterableIterator<CallerConnection> {
     return this.#connections.values();
   }
@@ -100,7 +106,8 @@
   }
 
   #check(): void {
-    const { memory, idleTimeoutMillis, maxHeadBytes } = this.#options;
+    const { memory, descriptors, idleTimeoutMillis, maxHeadBytes } =
+      this.#options;
     const nowMillis = performance.now();
     const wasStalled =
       nowMillis - this.#checkedAtMillis > STALL_CHECKS * CHECK_INTERVAL_MILLIS;
@@ -125,13 +132,18 @@
     }
     this.#countPartialHeads(partialBytes);
     const maxWaitMillis = idleTimeoutMillis();
-    const isScarce = memory.load >= SHEDDING_LOAD || memory.suspended;
+    const lacksDescriptors = !descriptors.hasRoomForCaller;
+    const isScarce = memory.load >= SHEDDING_LOAD || memory.suspended ||
+      lacksDescriptors;
     if (!isScarce) {
+      const cause = this.#options.hasPausedWithin(maxWaitMillis)
+        ? "no-time"
+        : "caller-timeout";
       for (const entry of waiting) {
         // Only large pieces of an answer show whether its caller reads.
         const isSlow = entry.waitedMillis >= maxWaitMillis;
         if (isSlow && !entry.connection.hasUnsentAnswer) {
-          this.#shed(entry, "caller-timeout");
+          this.#shed(entry, cause);
         }
       }
       return;
@@ -144,9 +156,10 @@
     );
     const maxCount = Math.ceil(waiting.length * SHED_SHARE);
     for (const entry of waiting.slice(0, maxCount)) {
-      if (memory.load < SHEDDING_LOAD && !memory.suspended) return;
+      const lacksMemory = memory.load >= SHEDDING_LOAD || memory.suspended;
+      if (!lacksMemory && !lacksDescriptors) return;
       if (entry.waitedMillis >= MIN_WAIT_MILLIS || isOver) {
-        this.#shed(entry, "no-memory");
+        this.#shed(entry, lacksMemory ? "no-memory" : "no-descriptor");
       }
     }
   }
--- a/packages/gateway/src/descriptor_budget.ts
+++ b/packages/gateway/src/descriptor_budget.ts
@@ -11,6 +11,11 @@
  * the two, requests on further connections are refused.
  */
 const MAX_CALLERS_SHARE = 0.7;
+/**
+ * Share of the sockets from which connections that wait are not accepted before callers
+ * are read: the requests on those between are refused, and end soon.
+ */
+const REFUSALS_SHARE = 0.66;
 /** Share of the sockets for the store, other entries and look-ups. */
 const RESERVED_SHARE = 1 / 32;
 
@@ -32,6 +37,11 @@
     return this.callerCount < this.#maxSockets * CALLERS_SHARE;
   }
 
+  /** True if connections whose requests are refused may be accepted first. */
+  get hasRoomForRefusals(): boolean {
+    return this.callerCount < this.#maxSockets * REFUSALS_SHARE;
+  }
+
   /** True if there is no socket left for a caller, not even to refuse its request. */
   get isFull(): boolean {
     return this.callerCount >= this.#maxSockets * MAX_CALLERS_SHARE;
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -35,6 +35,7 @@
 } from "./forwarding_headers.ts";
 import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
+import { InputPacer } from "./input_pacer.ts";
 import { listen } from "./listen.ts";
 import type { MemoryBudget, MemoryShare } from "./memory_budget.ts";
 import { ANSWERED_REQUEST_COST, requestCost } from "./memory_costs.ts";
@@ -75,13 +76,8 @@
  * admitted again once these crashes expire.
  */
 const HELD_BACK_RETRY_MILLIS = 10_000;
-/**
- * Maximum time for accepting the connections that wait when the listener closes. New
- * ones may arrive as fast as they are accepted.
- */
-const MAX_ACCEPT_MILLIS = 250;
 /** Maximum number of connections that wait to be accepted. */
-const BACKLOG = 1024;
+const BACKLOG = 4096;
 /** Retry delay of a request for which there is no memory or no descriptor. */
 const LACK_RETRY_MILLIS = 1000;
 /**
@@ -97,6 +93,8 @@
 const SHED_STATUS = {
   "caller-timeout": 408,
   "no-memory": 503,
+  "no-descriptor": 503,
+  "no-time": 503,
   "header too large": 431,
 } as const satisfies Record<ShedCause, number>;
 /** Limits until a configuration is known. */
@@ -112,8 +110,8 @@
   readonly #options: GatewayServerOptions;
   readonly #server: Server;
   readonly #connections: CallerConnections;
+  readonly #pacer: InputPacer;
   #phase: StopPhase = "running";
-  #acceptedCount = 0;
 
   constructor(options: GatewayServerOptions) {
     this.#options = options;
@@ -122,6 +120,13 @@
       maxHeadBytes: () => this.#limits().headerBytes,
       idleTimeoutMillis: () => this.#limits().idleTimeoutMillis,
       onShed: (socket, cause) => this.#rejectIncomplete(socket, cause),
+      hasPausedWithin: (millis) => this.#pacer.hasPausedWithin(millis),
+    });
+    this.#pacer = new InputPacer({
+      connections: () => this.#connections.values(),
+      descriptors: options.descriptors,
+      memory: options.memory,
+      openAnswers: () => this.openAnswers,
     });
     this.#server = createServer({
       maxHeaderSize: MAX_PARSER_HEADER_BYTES,
@@ -132,8 +137,8 @@
       headersTimeout: DEFAULT_LIMITS.headerTimeoutMillis,
     }, (request, response) => this.#handleSafely(request, response));
     this.#server.on("connection", (socket: Socket) => {
-      this.#acceptedCount++;
       const connection = this.#connections.add(socket);
+      this.#pacer.recordAccepted(connection);
       if (this.#phase !== "running" || connection?.lack !== undefined) {
         connection?.announceClose();
       }
@@ -166,30 +171,40 @@
   /**
    * Stops accepting connections, closes idle ones, and refuses requests that are
    * still on their way.
+   *
+   * @param options.maxAcceptMillis maximum time for accepting those that wait; new ones
+   * may arrive as fast as they are accepted
    */
-  async closeListener(): Promise<void> {
-    await this.#acceptWaiting();
-    this.#server.close();
-    this.#phase = "closed";
+  async closeListener(
+    { maxAcceptMillis }: { maxAcceptMillis: number },
+  ): Promise<void> {
+    await this.#pacer.acceptWaiting({
+      maxMillis: maxAcceptMillis,
+      hasRoom: () => !this.#options.descriptors.isFull,
+      // The system resets the connections that wait when the listener closes.
+      onAccepted: (accepted) => {
+        this.#server.close();
+        this.#phase = "closed";
+        this.#options.log.info("listener_closed", {
+          accepted,
+          connections: this.#connections.size,
+        });
+      },
+    });
+    // Requests that wait to be read are refused.
+    await this.#pacer.untilAllRead(maxAcceptMillis);
     const nowMillis = performance.now();
-    for (const connection of this.#connections.values()) {
-      if (!connection.isBusy(nowMillis)) connection.end();
+    for (const [socket, connection] of this.#connections.entries()) {
+      if (!connection.isBusy(nowMillis)) this.#endIdle(socket, connection);
     }
   }
 
-  /**
-   * Accepts the connections that wait in the system, which resets them when the
-   * listener closes. Node.js accepts one in each turn of the event loop.
-   */
-  async #acceptWaiting(): Promise<void> {
-    const endMillis = performance.now() + MAX_ACCEPT_MILLIS;
-    let acceptedBefore: number;
-    do {
-      acceptedBefore = this.#acceptedCount;
-      await pollSockets();
-    } while (
-      this.#acceptedCount > acceptedBefore && performance.now() < endMillis
-    );
+  /** Closes a connection; refuses a request there was no time to read. */
+  #endIdle(socket: Socket, connection: CallerConnection): void {
+    if (socket.bytesRead > 0 && !connection.hasPartialHead) {
+      return connection.end();
+    }
+    this.#rejectHead(socket, { status: 503, reason: "stopping" });
   }
 
   /** Number of incomplete answers. */
@@ -265,6 +280,7 @@
       dropHead(request);
       return;
     }
+    this.#pacer.recordRead(connection);
     if (this.#phase === "closed") {
       return this.#writeOwnAnswer(request, response, {
         status: 503,
@@ -338,7 +354,7 @@
     const bodyResult = await readBody(request, {
       limits: this.#limits(),
       memory,
-      onPiece: () => connection.recordPiece(),
+      onPiece: () => this.#recordPiece(connection),
     });
     // It was refused while its body was read.
     if (response.writableEnded) return;
@@ -357,6 +373,7 @@
       });
     }
     await connection.takeTurn(response);
+    await this.#pacer.untilRead();
     // The caller may have disconnected without it being read yet: requests of new
     // connections wait while the process is short of time, and longer in a stall.
     if (stallMonitor.stalledRecently()) await catchUp();
@@ -464,7 +481,7 @@
     const connection = this.#connections.get(socket);
     if (connection === undefined || socket.writableEnded) return;
     const { incomplete } = connection;
-    if (incomplete !== undefined && cause === "no-memory") {
+    if (incomplete !== undefined && isLack(cause)) {
       const { request, response } = incomplete;
       return this.#refuseForLack(request, response, {
         connection,
@@ -485,7 +502,9 @@
       return connection.discardInput();
     }
     // Nothing waits for an answer.
-    if (!connection.hasPartialHead) return connection.end();
+    if (!connection.hasPartialHead && cause !== "no-time") {
+      return connection.end();
+    }
     if (cause === "no-memory") this.#options.memory.refusalCount++;
     this.#rejectHead(socket, { status, reason: cause });
   }
@@ -583,7 +602,13 @@
   #dropBody(request: IncomingMessage): void {
     const connection = this.#connections.get(request.socket);
     request.removeAllListeners("data");
-    request.on("data", () => connection?.recordPiece());
+    request.on("data", () => this.#recordPiece(connection));
+  }
+
+  #recordPiece(connection: CallerConnection | undefined): void {
+    if (connection === undefined) return;
+    connection.recordPiece();
+    this.#pacer.recordRead(connection);
   }
 
   /**
@@ -598,6 +623,11 @@
       return;
     }
     if (socket.writableEnded) return;
+    const { headerTimeoutMillis } = this.#limits();
+    if (
+      error.code === "ERR_HTTP_REQUEST_TIMEOUT" &&
+      this.#pacer.hasPausedWithin(headerTimeoutMillis)
+    ) return this.#rejectIncomplete(socket, "no-time");
     const status = malformedStatus(error.code);
     const { incomplete } = connection;
     if (connection.pending.size > 0) connection.closeAfterPending();
@@ -612,6 +642,10 @@
   }
 }
 
+function isLack(cause: ShedCause): cause is Lack {
+  return SHED_STATUS[cause] === 503;
+}
+
 /** Share of the memory that may be taken for a request. */
 function shareOf(headBytes: number, connection: CallerConnection): number {
   if (connection.pending.size > 1) return PIPELINED_SHARE;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -65,6 +65,11 @@
 const REGISTER_RETRY_MILLIS = 1000;
 /** How long a stopping entry takes new requests; callers cache look-ups less long. */
 const LAME_DUCK_MILLIS = 2500;
+/**
+ * Share of the time left for answers that is spent at most on accepting the connections
+ * that wait when the listener closes.
+ */
+const ACCEPT_SHARE = 1 / 3;
 /**
  * Share of the grace period that is reserved for answering what is left, and for
  * ending on a machine that is short of processor time.
@@ -318,7 +323,11 @@
     const deadlineMillis = stopAtMillis + graceMillis - marginMillis;
     runner.beginStop(deadlineMillis);
     await pause(Math.min(LAME_DUCK_MILLIS, graceMillis / 2));
-    await Promise.all(callerServers.map((server) => server.closeListener()));
+    const maxAcceptMillis = ACCEPT_SHARE *
+      Math.max(0, deadlineMillis - performance.now());
+    await Promise.all(
+      callerServers.map((server) => server.closeListener({ maxAcceptMillis })),
+    );
     await pauseWhile(isBusy, deadlineMillis);
     const unanswered = openAnswers();
     runner.endAll();
