Show pauses and leaving targets in traces

Cause: these lines carry the id of the request whose answer told it, and trace left out all lines of other requests; they had no service to be found by.

Change: target_pause and target_leaving name the service, and trace shows them with that request's id.

--- a/packages/cli/src/commands/trace/join_timeline.ts
+++ b/packages/cli/src/commands/trace/join_timeline.ts
@@ -37,6 +37,12 @@
   "log_lines_dropped",
 ]);
 
+/** Events that concern all requests of a service, although one request's answer told them. */
+const STATEMENT_EVENTS: ReadonlySet<string> = new Set([
+  "target_leaving",
+  "target_pause",
+]);
+
 /** Builds the timeline in order of time; empty if no line carries the request's id. */
 export function joinTimeline(
   lines: readonly LogLine[],
@@ -53,7 +59,8 @@
   const context = lines.filter((line) => {
     const { event, fields, timeMillis } = line;
     if (timeMillis < fromMillis || timeMillis > toMillis) return false;
-    if (fields.has("request")) return false;
+    if (fields.has("request") && !STATEMENT_EVENTS.has(event)) return false;
+    if (fields.get("request") === request) return false;
     if (!instances.has(fields.get("instance") ?? "")) return false;
     if (PROCESS_EVENTS.has(event)) return true;
     return event.startsWith("target_") &&
@@ -84,7 +91,7 @@
   return timeline.map(({ line, own }) => {
     const offset = String(line.timeMillis - startMillis).padStart(7);
     const fields = [...line.fields]
-      .filter(([name]) => name !== "request")
+      .filter(([name]) => name !== "request" || !own)
       .map(([name, value]) => `${name}=${value}`);
     return `${offset} ms ${own ? "*" : " "} ${line.event} ${fields.join(" ")}`
       .trimEnd();
--- a/packages/gateway/features/trace.feature
+++ b/packages/gateway/features/trace.feature
@@ -29,6 +29,20 @@
     And the trace of the last request shows "send instance=e1 target=t1" before "outcome=answered"
     And the trace of the last request shows an expected time below 400 ms and an actual time of at least that
 
+  Scenario: The trace of a refused request shows whose answer asked for a pause
+    Given a target "t1" that turns requests away with a Retry-After of "30"
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" 2 times in a row
+    Then the answer is 503 with a Retry-After
+    And the trace of the last request shows "target_pause instance=e1 target=t1" before "outcome=refused"
+
+  Scenario: The trace of a refused request shows that its targets leave
+    Given a target "t1" that leaves
+    And an entry "e1"
+    When a caller of "e1" gets "/read/x" 2 times in a row
+    Then the answer is 503 with a Retry-After
+    And the trace of the last request shows "target_leaving instance=e1 target=t1" before "outcome=refused"
+
   Scenario: A trace leaves out the log lines of other requests and services
     Given a target "t1" that answers
     And an entry "e1"
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -88,6 +88,7 @@
     const pauseMillis = parseRetryAfter(head.retryAfter, Date.now());
     const details = {
       target: target.record.id,
+      service: target.record.service,
       request: request.id,
       header: head.retryAfter,
     };
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -356,6 +356,7 @@
     if (!target.recordLeaving()) return;
     this.#log.info("target_leaving", {
       target: target.record.id,
+      service: target.record.service,
       version: formatStateVersion(target.version),
       bornMillis: target.record.bornMillis,
       ...options,
