Read callers again after a pause, and reset none at a stop

Cause: server.close() of Node.js resets connections that look idle, also those that are not read because of the pause; the next connections were read only after a short turn; and those that had sent a body came last, also when they wait for their answer.

Change: idle connections are closed by the stop itself, once what they have sent was read; the next connections are read after 100 ms at the latest; a caller that waits for one answer is read first. Those that wait when the listener closes are served while there is time, and refused only where there was no time to read them. Scarce descriptors reset no answer.

--- a/packages/gateway/features/ending_steps.ts
+++ b/packages/gateway/features/ending_steps.ts
@@ -11,6 +11,7 @@
   connectTo,
   post,
   raw,
+  type RawCaller,
   send,
   statusOf,
   untilClosed,
@@ -22,6 +23,9 @@
 /** Time from the start of a stop until the listener closes. */
 const LAME_DUCK_MILLIS = 2500;
 const STALL_MILLIS = 60;
+const SLOW_TURNS_MILLIS = 2000;
+/** Time from the end of the stall until kept connections are used again. */
+const KEPT_REQUEST_MILLIS = 100;
 const SLOW_READ_MILLIS = 300;
 
 /** Ids of all requests that a target received. */
@@ -173,7 +177,12 @@
 /** Callers connect in a stall, and turns of the event loop take some time after it. */
 async function connectInStall(
   entry: string,
-  { count, turnMillis }: { count: number; turnMillis: number },
+  { count, turnMillis, kept = [] }: {
+    count: number;
+    turnMillis: number;
+    /** Callers on connections that were used before; they send a request then, too. */
+    kept?: RawCaller[];
+  },
 ): Promise<void> {
   const { graceMillis } = world.system.settings(entry);
   const stopped = gatewayOf(entry).stop();
@@ -182,15 +191,33 @@
   raw.callers = Array.from({ length: count }, () => connectTo(entry));
   for (const caller of raw.callers) send(caller, "/read/x");
   spin(STALL_MILLIS);
-  let isOver = false;
+  const slowTurns = slowDownTurns(turnMillis);
+  await pause(KEPT_REQUEST_MILLIS);
+  for (const caller of kept) send(caller, "/read/x");
+  await stopped;
+  await Promise.all([...raw.callers, ...kept].map(untilClosed));
+  slowTurns.stop();
+}
+
+/** Makes turns of the event loop take longer. */
+function slowDownTurns(turnMillis: number): { stop: () => void } {
+  let isOver = turnMillis === 0;
   const slowDown = () => {
+    if (isOver) return;
     spin(turnMillis);
-    if (!isOver) setImmediate(slowDown);
+    setImmediate(slowDown);
   };
-  if (turnMillis > 0) slowDown();
-  await stopped;
-  await Promise.all(raw.callers.map(untilClosed));
-  isOver = true;
+  slowDown();
+  return { stop: () => isOver = true };
+}
+
+async function untilAnswered(
+  callers: readonly RawCaller[],
+  count: number,
+): Promise<void> {
+  const isAnswered = () =>
+    callers.every((caller) => answersOf(caller).length === count);
+  await until(isAnswered, `${count} answers for each caller`);
 }
 
 function spin(millis: number): void {
@@ -210,6 +237,39 @@
     connectInStall(entry, { count, turnMillis }),
 );
 
+When(
+  "{int} callers of {string} send a request each, and another one while it accepts {int} before its listener closes",
+  async (keptCount: number, entry: string, count: number) => {
+    const kept = Array.from({ length: keptCount }, () => connectTo(entry));
+    for (const caller of kept) send(caller, "/read/x");
+    await untilAnswered(kept, 1);
+    await connectInStall(entry, { count, turnMillis: 2, kept });
+    raw.callers = kept;
+  },
+);
+
+When(
+  "{int} callers of {string} send a request each, and another one while 4 callers connect and turns of the event loop take {int} ms",
+  async (count: number, entry: string, turnMillis: number) => {
+    raw.callers = Array.from({ length: count }, () => connectTo(entry));
+    for (const caller of raw.callers) send(caller, "/read/x");
+    await untilAnswered(raw.callers, 1);
+    const slowTurns = slowDownTurns(turnMillis);
+    // Each turn accepts one of them, so that reading pauses.
+    const others = Array.from({ length: 4 }, () => connectTo(entry));
+    await pause(KEPT_REQUEST_MILLIS);
+    for (const caller of raw.callers) send(caller, "/read/x");
+    await pause(SLOW_TURNS_MILLIS);
+    slowTurns.stop();
+    for (const { socket } of others) socket.destroy();
+  },
+);
+
+Then("each of these callers got two answers", () => {
+  const counts = raw.callers.map((caller) => answersOf(caller).length);
+  assert.deepEqual(counts, counts.map(() => 2));
+});
+
 When(
   "a caller of {string} pipelines a request and a malformed one",
   async (entry: string) => {
--- a/packages/gateway/features/stop.feature
+++ b/packages/gateway/features/stop.feature
@@ -46,6 +46,18 @@
     When 200 callers of "e1" connect and send a request in a stall at whose end its listener closes, and turns of the event loop take 2 ms
     Then each caller got an answer
 
+  Scenario: A request on a kept connection is answered while others are accepted
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 8 s
+    When 20 callers of "e1" send a request each, and another one while it accepts 200 before its listener closes
+    Then each of these callers got two answers
+
+  Scenario: Callers are read again although turns of the event loop stay long
+    Given a target "t1" that answers
+    And an entry "e1"
+    When 100 callers of "e1" send a request each, and another one while 4 callers connect and turns of the event loop take 30 ms
+    Then each of these callers got two answers
+
   Scenario: A malformed request doesn't cut off the answers of those before it
     Given a target "t1" that answers after 200 ms
     And an entry "e1"
--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -267,6 +267,11 @@
     return this.pending.has(latest.response) ? latest : undefined;
   }
 
+  /** True if one whole request was read, and is not answered yet. */
+  get waitsForAnswer(): boolean {
+    return this.pending.size === 1 && this.incomplete === undefined;
+  }
+
   /** True unless all requests are answered and no other one is on its way. */
   isBusy(nowMillis: number): boolean {
     if (this.pending.size > 0) return true;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -158,6 +158,7 @@
     for (const entry of waiting.slice(0, maxCount)) {
       const lacksMemory = memory.load >= SHEDDING_LOAD || memory.suspended;
       if (!lacksMemory && !lacksDescriptors) return;
+      if (!lacksMemory && entry.connection.hasUnsentAnswer) continue;
       if (entry.waitedMillis >= MIN_WAIT_MILLIS || isOver) {
         this.#shed(entry, lacksMemory ? "no-memory" : "no-descriptor");
       }
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -183,30 +183,25 @@
       hasRoom: () => !this.#options.descriptors.isFull,
       // The system resets the connections that wait when the listener closes.
       onAccepted: (accepted) => {
+        // Node.js would reset connections whose next request is not read yet.
+        this.#server.closeIdleConnections = () => {};
         this.#server.close();
-        this.#phase = "closed";
         this.#options.log.info("listener_closed", {
           accepted,
           connections: this.#connections.size,
         });
       },
     });
-    // Requests that wait to be read are refused.
-    await this.#pacer.untilAllRead(maxAcceptMillis);
+    const unread = await this.#pacer.untilAllRead(maxAcceptMillis);
+    this.#phase = "closed";
     const nowMillis = performance.now();
     for (const [socket, connection] of this.#connections.entries()) {
-      if (!connection.isBusy(nowMillis)) this.#endIdle(socket, connection);
+      if (connection.isBusy(nowMillis) || socket.writableEnded) continue;
+      if (!unread.has(connection)) connection.end();
+      else this.#rejectHead(socket, { status: 503, reason: "stopping" });
     }
   }
 
-  /** Closes a connection; refuses a request there was no time to read. */
-  #endIdle(socket: Socket, connection: CallerConnection): void {
-    if (socket.bytesRead > 0 && !connection.hasPartialHead) {
-      return connection.end();
-    }
-    this.#rejectHead(socket, { status: 503, reason: "stopping" });
-  }
-
   /** Number of incomplete answers. */
   get openAnswers(): number {
     let open = 0;
--- a/packages/gateway/src/input_pacer.ts
+++ b/packages/gateway/src/input_pacer.ts
@@ -42,6 +42,8 @@
 const MAX_OPEN_ANSWERS = 32;
 /** Connections that are read in one turn after a pause. */
 const BATCH_SIZE = 32;
+/** Time after which the next ones are read although turns are long. */
+const MAX_BATCH_MILLIS = 100;
 /** What a connection of which nothing was read counts as. */
 const ASSUMED_BYTES = 4096;
 
@@ -129,11 +131,14 @@
   }
 
   /**
-   * Resolves once all that callers have sent was read.
+   * Resolves once all that callers have sent was read, to the connections for which
+   * there was no time.
    *
    * @param maxMillis maximum time; callers may send as fast as they are read
    */
-  async untilAllRead(maxMillis: number): Promise<void> {
+  async untilAllRead(
+    maxMillis: number,
+  ): Promise<ReadonlySet<CallerConnection>> {
     const endMillis = performance.now() + maxMillis;
     do {
       await this.#pause;
@@ -143,6 +148,7 @@
       performance.now() < endMillis
     );
     await pollSockets();
+    return new Set(this.#unread);
   }
 
   /** True if callers waited within the given time because reading took too long. */
@@ -196,7 +202,10 @@
     const connections = [...this.#options.connections()].reverse().map(
       (connection) => ({
         connection,
-        recentBytes: connection.recentBytes(nowMillis) || ASSUMED_BYTES,
+        // Little more than the close of a caller that waits for its answer can come.
+        recentBytes: connection.waitsForAnswer
+          ? 0
+          : connection.recentBytes(nowMillis) || ASSUMED_BYTES,
       }),
     );
     connections.sort((a, b) => a.recentBytes - b.recentBytes);
@@ -209,17 +218,20 @@
     for (const connection of this.#unread.splice(0, BATCH_SIZE)) {
       connection.resumeInput();
     }
-    if (this.#unread.length > 0) this.#afterTurn(() => this.#resumeBatch());
+    if (this.#unread.length > 0) this.#afterTurn(performance.now());
   }
 
-  /** Calls `callback` after a turn that was short, unless there is a new pause. */
-  #afterTurn(callback: () => void): void {
+  /** Reads the next connections after a turn that was short, or after some time. */
+  #afterTurn(sinceMillis: number): void {
     const startMillis = performance.now();
     setImmediate(() => {
       if (this.#pause !== undefined) return;
-      const isShort = performance.now() - startMillis <= MAX_READ_MILLIS;
-      if (isShort) callback();
-      else this.#afterTurn(callback);
+      const nowMillis = performance.now();
+      const isShort = nowMillis - startMillis <= MAX_READ_MILLIS;
+      if (isShort || nowMillis - sinceMillis > MAX_BATCH_MILLIS) {
+        return this.#resumeBatch();
+      }
+      this.#afterTurn(sinceMillis);
     });
   }
 }
