Wait for a caller's close until its connection was polled

Cause, by reading: a request waits for two turns of the event loop, so that the close that follows it is read. Since reading pauses, these turns may read nothing from its connection, and the request of a caller that has left is sent.

Change: the request waits until its connection was polled without a pause, for 500 ms at most.

No scenario fails without it: one with 300 callers that leave at once passes with and without it.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -61,6 +61,7 @@
   /** Since when a request is on its way; undefined while none is. */
   #arrivingSinceMillis: number | undefined = performance.now();
   #closing = false;
+  #isPaused = false;
   #discardsInput = false;
   #droppedCount = 0;
   /** The answer that announces the close; undefined until there is one. */
@@ -171,11 +172,18 @@
 
   /** Reads nothing until {@link resumeInput}. */
   pauseInput(): void {
+    this.#isPaused = true;
     this.#socket.pause();
   }
 
+  /** True between {@link pauseInput} and {@link resumeInput}, while it is open. */
+  get isPaused(): boolean {
+    return this.#isPaused && !this.#socket.destroyed;
+  }
+
   /** Goes on reading. */
   resumeInput(): void {
+    this.#isPaused = false;
     this.#socket.resume();
   }
 
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -47,7 +47,7 @@
   readHead,
 } from "./read_request.ts";
 import { type RequestRunner, STOPPING_RETRY_MILLIS } from "./request_runner.ts";
-import { catchUp, pollSockets, type StallMonitor } from "./stall_monitor.ts";
+import { catchUp, type StallMonitor } from "./stall_monitor.ts";
 
 /** How far a graceful stop has come. */
 type StopPhase = "running" | "stopping" | "closed";
@@ -368,11 +368,10 @@
       });
     }
     await connection.takeTurn(response);
-    await this.#pacer.untilRead();
     // The caller may have disconnected without it being read yet: requests of new
     // connections wait while the process is short of time, and longer in a stall.
     if (stallMonitor.stalledRecently()) await catchUp();
-    else await pollSockets();
+    await this.#pacer.untilPolled(connection);
     if (bodyResult.kind === "broken" || hasDisconnected(request, response)) {
       return log.info("request", { request: head.id, outcome: "left-unread" });
     }
--- a/packages/gateway/src/input_pacer.ts
+++ b/packages/gateway/src/input_pacer.ts
@@ -44,6 +44,8 @@
 const BATCH_SIZE = 32;
 /** Time after which the next ones are read although turns are long. */
 const MAX_BATCH_MILLIS = 100;
+/** Maximum time for which a request waits until its connection is polled. */
+const MAX_POLL_MILLIS = 500;
 /** What a connection of which nothing was read counts as. */
 const ASSUMED_BYTES = 4096;
 
@@ -125,9 +127,19 @@
     });
   }
 
-  /** Resolves once callers are read. */
-  async untilRead(): Promise<void> {
-    await this.#pause;
+  /**
+   * Resolves once a connection was polled without a pause, so that its caller's close
+   * is noticed, or after some time.
+   */
+  async untilPolled(connection: CallerConnection): Promise<void> {
+    const endMillis = performance.now() + MAX_POLL_MILLIS;
+    let wasPaused: boolean;
+    do {
+      wasPaused = connection.isPaused;
+      await pollSockets();
+    } while (
+      (wasPaused || connection.isPaused) && performance.now() < endMillis
+    );
   }
 
   /**
