Show that changes come late while paths to the store fail

What callers see: a dropped route is still served, and drained, removed or evacuated targets still get requests, 3.0 to 5.5 s after the acknowledgement; 2.5 s are allowed.

--- /dev/null
+++ b/packages/gateway/features/state_age.feature
@@ -0,0 +1,43 @@
+Feature: Each entry bounds the age of its state
+
+  Changes are in force within 2.5 s of their acknowledgement at every entry that
+  reaches the store, whatever happens to the entries that follow it.
+
+  Background:
+    Given a store with a route of each kind
+
+  Scenario Outline: Followers lose their paths to the store one after another, then <change>
+    Given a target "t1" that answers
+    And entries "e1" to "e6" of which the first 2 watch the store
+    When "e1" and "e2" get no answers from the store
+    And "e3" and "e4" get none either from their first watch on
+    And <change>
+    Then "e5" and "e6" apply it within 2500 ms
+
+    Examples:
+      | change                 |
+      | a route is dropped     |
+      | a target drains        |
+      | a target is removed    |
+      | data centre "a1" is evacuated now |
+
+  Scenario Outline: Open connections to the store go silent, then <change>
+    Given a target "t1" that answers
+    And entries "e1" to "e2" of which the first 2 watch the store
+    When the open connections of "e1" and "e2" to the store go silent
+    And <change>
+    Then "e1" and "e2" apply it within 2500 ms
+
+    Examples:
+      | change                 |
+      | a route is dropped     |
+      | a target drains        |
+      | a target is removed    |
+      | data centre "a1" is evacuated now |
+
+  Scenario: The store answers reads but no watches
+    Given a target "t1" that answers
+    And entries "e1" to "e2" of which the first 2 watch the store
+    When the store refuses the watches of "e1" and "e2"
+    And a route is dropped
+    Then "e1" and "e2" apply it within 2500 ms
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -21,6 +21,8 @@
 
 /** Interval at which a waiting watch checks for changes. */
 const POLL_INTERVAL_MILLIS = 5;
+/** Time after which a client gives up a call, in addition to the wait of a watch. */
+const CALL_TIMEOUT_MILLIS = 1000;
 
 /** A row without its version. */
 export type UnversionedRow = StateRow extends infer R
@@ -44,6 +46,14 @@
   #oldestVersion = 0;
   /** Clients for which the store is unavailable. */
   readonly #down = new Set<string>();
+  /** Clients whose calls get no answer. */
+  readonly #silent = new Set<string>();
+  /** Clients whose calls get no answer from their next watch on. */
+  readonly #silentFromNextWatch = new Set<string>();
+  /** Number of times that the open connections of a client went silent. */
+  readonly #silencedConnections = new Map<string, number>();
+  /** Clients whose watches fail, while reads are answered. */
+  readonly #withoutWatches = new Set<string>();
   /** Tables that can't be read as a whole. */
   readonly unreadableTables = new Set<StateTable>();
   /** Addresses at which single clients reach targets, by client and real address. */
@@ -82,6 +92,29 @@
     else this.#down.delete(client);
   }
 
+  /** Answers no call of a client any more; calls in progress get no answer either. */
+  silence(client: string): void {
+    this.#silent.add(client);
+  }
+
+  /** Does so from the client's next watch on. */
+  silenceFromNextWatch(client: string): void {
+    this.#silentFromNextWatch.add(client);
+  }
+
+  /** Answers no call of a client that is in progress; later ones are answered. */
+  silenceConnections(client: string): void {
+    this.#silencedConnections.set(
+      client,
+      (this.#silencedConnections.get(client) ?? 0) + 1,
+    );
+  }
+
+  /** Refuses the watches of a client. */
+  refuseWatches(client: string): void {
+    this.#withoutWatches.add(client);
+  }
+
   /** Lets one client see another address of a target than the others. */
   setLink(client: string, address: string, linkAddress: string): void {
     const links = this.#links.get(client) ?? new Map<string, string>();
@@ -100,8 +133,14 @@
       if (this.#down.has(client)) throw new StoreError("busy", "unavailable");
     };
     let closed = false;
+    const connectionsOf = () => this.#silencedConnections.get(client) ?? 0;
+    const failSilently = async (timeoutMillis: number): Promise<never> => {
+      await new Promise((resolve) => setTimeout(resolve, timeoutMillis));
+      throw new StoreError("timeout", "no answer");
+    };
     return {
       read: (table): Promise<TableSnapshot> => {
+        if (this.#silent.has(client)) return failSilently(CALL_TIMEOUT_MILLIS);
         return toPromise(() => {
           assertAvailable();
           if (this.unreadableTables.has(table)) {
@@ -116,10 +155,19 @@
       },
       watch: async (table, afterVersion, options): Promise<WatchResult> => {
         const endMillis = performance.now() + options.waitMillis;
+        const connections = connectionsOf();
+        if (this.#silentFromNextWatch.has(client)) this.silence(client);
         this.#adjustWatchCount(client, 1);
         try {
           while (true) {
+            if (this.#silent.has(client) || connectionsOf() !== connections) {
+              const leftMillis = endMillis - performance.now();
+              return await failSilently(leftMillis + CALL_TIMEOUT_MILLIS);
+            }
             assertAvailable();
+            if (this.#withoutWatches.has(client)) {
+              throw new StoreError("busy", "no watches");
+            }
             const after = storeVersionOf(afterVersion);
             if (
               eraOf(afterVersion) !== this.#era || after > this.#version ||
