Log from whom an entry got each revision, and how old its state was

Cause: after a request was handled by an older revision, no line told when the newer one was acknowledged, when each entry could first have read it, from whom it came, or how old the state was; `request` and `send` named the revision at their own time, not the one that chose the service. Change: the age of the configuration and of the targets, confirmed by the store or taken over from an entry that the store confirmed them to; heartbeats and digests carry such confirmations. `config_applied`, `evacuated` and `target_*` name the source and the store's clock in the answer with and in the one without the row; `newer_state_announced` is new; `request` has the revision that matched and both ages; two gauges. No decision changes.

--- a/packages/cli/src/commands/trace/join_timeline.ts
+++ b/packages/cli/src/commands/trace/join_timeline.ts
@@ -31,6 +31,7 @@
   "history_gap",
   "state_borrowed",
   "borrow_failed",
+  "newer_state_announced",
   "config_applied",
   "evacuated",
   "evacuation_over",
--- a/packages/gateway/features/state_age.feature
+++ b/packages/gateway/features/state_age.feature
@@ -41,3 +41,15 @@
     When the store refuses the watches of "e1" and "e2"
     And a route is dropped
     Then "e1" and "e2" apply it within 2500 ms
+
+  Scenario: Logs tell where a revision came from, and how old the one before was
+    Given a target "t1" that answers
+    And entries "e1" to "e3" of which the first 2 watch the store
+    When a route is dropped
+    Then "e1" and "e3" apply it within 2500 ms
+    And the log of "e1" has "config_applied" with "revision=9 from=5", "source=watch", "storeMillis" and "absentAtStoreMillis"
+    And the log of "e3" has "newer_state_announced" with "revision=9 ", "knownRevision=5", "configAgeMillis" and "peer=e"
+    And the log of "e3" has "state_borrowed" with "from=127", "rows=1", "tookMillis" and "configAgeMillis"
+    And the log of "e3" has "config_applied" with "revision=9", "source=127", "version=" and "ageMillis"
+    When a caller of "e3" gets "/brief/x" 1 times in a row
+    Then the log of "e3" has "request" with "revision=9", "configAgeMillis", "targetsAgeMillis" and "outcome"
--- a/packages/gateway/features/state_age_steps.ts
+++ b/packages/gateway/features/state_age_steps.ts
@@ -129,3 +129,23 @@
   (first: string, second: string, boundMillis: number) =>
     untilApplied([first, second], boundMillis),
 );
+
+Then(
+  "the log of {string} has {string} with {string}, {string}, {string} and {string}",
+  (
+    entry: string,
+    event: string,
+    first: string,
+    second: string,
+    third: string,
+    fourth: string,
+  ) =>
+    until(() => {
+      const lines = world.system.logText.split("\n").filter((line) =>
+        line.includes(`event=${event} instance=${entry} `)
+      );
+      return lines.some((line) =>
+        [first, second, third, fourth].every((field) => line.includes(field))
+      );
+    }, `${event} of ${entry}`),
+);
--- a/packages/gateway/src/gateway_request.ts
+++ b/packages/gateway/src/gateway_request.ts
@@ -50,11 +50,19 @@
   abandon(): void;
 }
 
+/** A route, and the state of which it was chosen. */
+export interface MatchedRoute {
+  route: SteeringRoute;
+  /** Revision that has the route. */
+  revision?: number;
+  /** Age of that configuration then; undefined if it is not known. */
+  configAgeMillis?: number;
+}
+
 /** A request that is queued or at a target. */
-export interface GatewayRequest extends WaitingRequest {
+export interface GatewayRequest extends WaitingRequest, MatchedRoute {
   /** The caller's id of the request; empty if it sent none. */
   id: string;
-  route: SteeringRoute;
   service: string;
   /** Key of the object that the request is about, on routes with affinity. */
   object: string | undefined;
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -14,10 +14,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { EventLog } from "@bamboolane/logger/create_logger";
-import type {
-  CallerLimits,
-  SteeringRoute,
-} from "@bamboolane/steering/steering_config";
+import type { CallerLimits } from "@bamboolane/steering/steering_config";
 import {
   CallerSink,
   formatRetryAfter,
@@ -33,7 +30,11 @@
   parseForwarded,
   resultHeaders,
 } from "./forwarding_headers.ts";
-import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
+import type {
+  GatewayRequest,
+  LocalAnswer,
+  MatchedRoute,
+} from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import { InputPacer } from "./input_pacer.ts";
 import { listen } from "./listen.ts";
@@ -48,6 +49,7 @@
 } from "./read_request.ts";
 import { type RequestRunner, STOPPING_RETRY_MILLIS } from "./request_runner.ts";
 import { catchUp, type StallMonitor } from "./stall_monitor.ts";
+import { StateTable } from "./state_store.ts";
 
 /** How far a graceful stop has come. */
 type StopPhase = "running" | "stopping" | "closed";
@@ -328,7 +330,15 @@
         reason: "no route",
       });
     }
-    this.#accept(request, response, { route, connection, memory }).catch(
+    const matched = {
+      route,
+      revision: state.config?.revision,
+      configAgeMillis: state.confirmations.loggedAgeMillis(
+        StateTable.operator,
+        performance.now(),
+      ),
+    };
+    this.#accept(request, response, { matched, connection, memory }).catch(
       (error: Error) => this.#fail(request, response, error),
     );
   }
@@ -336,13 +346,14 @@
   async #accept(
     request: IncomingMessage,
     response: ServerResponse,
-    { route, connection, memory }: {
-      route: SteeringRoute;
+    { matched, connection, memory }: {
+      matched: MatchedRoute;
       connection: CallerConnection;
       memory: MemoryShare;
     },
   ): Promise<void> {
     const { state, runner, stallMonitor, dialect, log } = this.#options;
+    const { route } = matched;
     const forwarded = this.#forwardedState(request);
     const arrivedAtMillis = performance.now() - forwarded.elapsedMillis;
     const head = readHead(request, route, dialect);
@@ -393,7 +404,7 @@
     }
     const gatewayRequest: GatewayRequest = {
       id: head.id,
-      route,
+      ...matched,
       service,
       object: head.object,
       method: request.method ?? "GET",
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -39,6 +39,7 @@
 } from "@bamboolane/steering/target_registry";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LatestRows } from "./latest_rows.ts";
+import { StateConfirmations } from "./state_confirmations.ts";
 import { StateTable } from "./state_store.ts";
 
 /** Maximum number of requests remembered after crashes; each takes some hundred bytes. */
@@ -69,11 +70,29 @@
   all: readonly string[];
 }
 
+/** Where rows came from; the fields are logged with what the rows change. */
+export type RowOrigin = {
+  /** `read`, `watch` or `check` of the store, or the address of another entry. */
+  source?: string;
+  /** The store's clock in the answer that brought the rows. */
+  storeMillis?: number;
+  /** The store's clock in the newest answer before, without these rows. */
+  absentAtStoreMillis?: number;
+};
+
+/** When and from where rows are applied. */
+export interface ApplyOptions {
+  nowMillis: number;
+  origin?: RowOrigin;
+}
+
 /** State of one entry. */
 export class GatewayState {
   readonly targets = new TargetRegistry();
   readonly members = new MemberView();
   readonly latestRows = new LatestRows();
+  /** Ages of the configuration and of the targets. */
+  readonly confirmations = new StateConfirmations(this.latestRows);
   /** Remote shares of the region's other entries, by service. */
   readonly shares = new PeerShares();
   readonly crashes = new CrashTracker({
@@ -133,9 +152,9 @@
   }
 
   /** Applies rows in the order of their versions. */
-  apply(rows: readonly StateRow[], nowMillis: number): void {
+  apply(rows: readonly StateRow[], options: ApplyOptions): void {
     const ordered = [...rows].sort((a, b) => a.version - b.version);
-    for (const row of ordered) this.#applyRow(row, nowMillis);
+    for (const row of ordered) this.#applyRow(row, options);
     this.onChange();
   }
 
@@ -143,17 +162,17 @@
   applySnapshot(
     table: StateTable,
     rows: readonly StateRow[],
-    options: { version: number; nowMillis: number },
+    options: ApplyOptions & { version: number },
   ): void {
     this.#recordEra(table, options);
-    this.apply(rows, options.nowMillis);
+    this.apply(rows, options);
     switch (table) {
       case StateTable.targets:
         this.#retainTargets(rows, options);
         return this.latestRows.recordSnapshot([0, options.version]);
       case StateTable.operator:
         for (const applied of this.#evacuations.retain(rows, options)) {
-          this.#applyEvacuation(applied, options.nowMillis);
+          this.#applyEvacuation(applied, options);
         }
         return this.latestRows.recordSnapshot([options.version, 0]);
       case StateTable.entries:
@@ -409,29 +428,32 @@
       });
     }
     for (const applied of this.#evacuations.expire(nowMillis)) {
-      this.#applyEvacuation(applied, nowMillis);
+      this.#applyEvacuation(applied, { nowMillis });
     }
     this.latestRows.removeExpired(nowMillis);
   }
 
-  #applyRow(row: StateRow, nowMillis: number): void {
+  #applyRow(row: StateRow, options: ApplyOptions): void {
     switch (row.kind) {
       case "config":
-        return this.#applyConfig(row, nowMillis);
+        return this.#applyConfig(row, options);
       case "evacuation":
         return this.#applyEvacuation({
           row,
-          change: this.#evacuations.apply(row, nowMillis),
-        }, nowMillis);
+          change: this.#evacuations.apply(row, options.nowMillis),
+        }, options);
       case "target":
-        return this.#applyTarget(row, nowMillis);
+        return this.#applyTarget(row, options);
       case "entry":
         if (row.id === this.#settings.instance.id) return;
         return this.members.apply(row.id, row.record, row.version);
     }
   }
 
-  #applyConfig(row: StateRow & { kind: "config" }, nowMillis: number): void {
+  #applyConfig(
+    row: StateRow & { kind: "config" },
+    { nowMillis, origin }: ApplyOptions,
+  ): void {
     const { config } = row;
     const from = this.#config?.revision ?? 0;
     if (config.revision < from) return;
@@ -453,6 +475,11 @@
       from,
       version: formatStateVersion(row.version),
       routes: config.routes.length,
+      ...origin,
+      ageMillis: this.confirmations.loggedAgeMillis(
+        StateTable.operator,
+        nowMillis,
+      ),
     });
   }
 
@@ -470,7 +497,7 @@
 
   #applyEvacuation(
     { row, change }: AppliedEvacuation,
-    nowMillis: number,
+    { nowMillis, origin }: ApplyOptions,
   ): void {
     switch (change) {
       case "stale":
@@ -489,6 +516,7 @@
         this.#log.info(row.active ? "evacuated" : "evacuation_over", {
           dataCentre: row.dataCentre,
           version: formatStateVersion(row.version),
+          ...origin,
         });
         if (!row.active) this.#markTargetsCold(row.dataCentre, nowMillis);
     }
@@ -506,7 +534,10 @@
     }
   }
 
-  #applyTarget(row: StateRow & { kind: "target" }, nowMillis: number): void {
+  #applyTarget(
+    row: StateRow & { kind: "target" },
+    { nowMillis, origin }: ApplyOptions,
+  ): void {
     const change = this.targets.apply(row, {
       nowMillis,
       storeRecoveredAtMillis: this.storeRecoveredAtMillis,
@@ -521,6 +552,7 @@
       dataCentre: row.record?.dataCentre,
       draining: row.record?.draining,
       warmupLeftMillis: row.record?.warmupLeftMillis,
+      ...origin,
     });
   }
 
@@ -541,7 +573,7 @@
 
   #retainTargets(
     rows: readonly StateRow[],
-    options: { version: number; nowMillis: number },
+    options: ApplyOptions & { version: number },
   ): void {
     const ids = new Set<string>();
     for (const row of rows) {
@@ -561,6 +593,7 @@
       this.#log.info("target_missing", {
         target: id,
         version: formatStateVersion(options.version),
+        ...options.origin,
       });
     }
   }
--- a/packages/gateway/src/latest_rows.ts
+++ b/packages/gateway/src/latest_rows.ts
@@ -4,10 +4,24 @@
  * entry that is slightly behind gets only what changed.
  */
 import type { StateRow } from "@bamboolane/steering/steering_config";
+import type { FollowedTable } from "./state_store.ts";
 
 /** Newest row versions of the operator table and the targets table. */
 export type RowVersions = readonly [operator: number, targets: number];
 
+/** What the store confirmed to an entry; field names are the wire format. */
+export interface Confirmation {
+  /** Version up to which the entry knows all changes. */
+  completeTo: number;
+  /** Version of the last of these changes: who is complete to it lacks none of them. */
+  changedAt: number;
+  /** Time since the entry asked the store. */
+  ageMillis: number;
+}
+
+/** Confirmations by table; a table that the store did not confirm is left out. */
+export type Confirmations = Partial<Record<FollowedTable, Confirmation>>;
+
 /** What an entry knows, as it announces it to others. */
 export interface KnownState {
   versions: RowVersions;
@@ -16,6 +30,8 @@
    * so row versions alone don't tell who has the newest one.
    */
   revision?: number;
+  /** What the store confirmed to the entry; entries of an older build send none. */
+  confirmed?: Confirmations;
 }
 
 /** Rows that one entry sends to another; field names are the wire format. */
@@ -68,6 +84,14 @@
     return maxVersions(this.#completeTo, this.versions);
   }
 
+  /**
+   * Version of the last known change of each table, or of the snapshot that it came with:
+   * who is complete to it lacks no change that is known here.
+   */
+  get changedAt(): RowVersions {
+    return maxVersions(this.#removalsMissingBefore, this.versions);
+  }
+
   /** Records that all changes up to `versions` are known. */
   recordComplete(versions: RowVersions): void {
     const [operator, targets] = this.#completeTo;
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -5,7 +5,8 @@
 import type { CrashSuspect } from "@bamboolane/types/instance";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { isName, parseEntryRecord } from "./entry_record.ts";
-import type { RowVersions } from "./latest_rows.ts";
+import type { Confirmations, RowVersions } from "./latest_rows.ts";
+import { checkConfirmations } from "./state_confirmations.ts";
 
 /** What an answer of a target stated about its request limit. */
 export interface LimitReport {
@@ -27,6 +28,8 @@
   versions: RowVersions;
   /** Configuration revision in force, if any. */
   revision?: number;
+  /** What the store confirmed to the entry; entries of an older build send none. */
+  confirmed?: Confirmations;
   /** Time since the store recovered from an outage; absent if that is long ago. */
   storeBackAgeMillis?: number;
   /** Requests of the entry in flight, by target. */
@@ -55,6 +58,8 @@
   versions: RowVersions;
   /** Configuration revision in force at the relay, if any. */
   revision?: number;
+  /** What the store confirmed to the relay; relays of an older build send none. */
+  confirmed?: Confirmations;
   /** Requests of the whole data centre in flight, by target. */
   inFlight: Record<string, number>;
   /** Services of which an entry of the data centre reaches no target, by entry. */
@@ -80,10 +85,11 @@
   return Buffer.from(JSON.stringify(message));
 }
 
-/** Throws unless all that a message is kept by has short names. */
-function checkNames(
-  message: Pick<Digest, "inFlight" | "shares" | "suspects">,
+/** Throws unless all that a message is kept by has short names, and its numbers are such. */
+function checkFields(
+  message: Pick<Digest, "inFlight" | "shares" | "suspects" | "confirmed">,
 ): void {
+  checkConfirmations(message.confirmed);
   const names = [
     ...Object.keys(message.inFlight),
     ...Object.keys(message.shares),
@@ -101,15 +107,15 @@
   switch (message.kind) {
     case "heartbeat":
       message.entry = parseEntryRecord(message.entry);
-      checkNames(message);
+      checkFields(message);
       for (const digest of message.digests) {
         digest.relay = parseEntryRecord(digest.relay);
-        checkNames(digest);
+        checkFields(digest);
       }
       return message;
     case "digest":
       message.relay = parseEntryRecord(message.relay);
-      checkNames(message);
+      checkFields(message);
       return message;
     default:
       throw new Error("unknown message kind");
--- a/packages/gateway/src/peer_task.ts
+++ b/packages/gateway/src/peer_task.ts
@@ -182,6 +182,7 @@
       reachesStore: reachesStore(),
       versions: state.latestRows.versions,
       revision: state.config?.revision,
+      confirmed: state.confirmations.own(performance.now()),
       storeBackAgeMillis: recoveryAgeMillis < LAPSE_GRACE_MILLIS
         ? Math.round(recoveryAgeMillis)
         : undefined,
@@ -289,6 +290,7 @@
       serving: isServing() ? [self.id, ...servingPeers] : servingPeers,
       versions: state.latestRows.versions,
       revision: state.config?.revision,
+      confirmed: state.confirmations.own(performance.now()),
       inFlight: sums,
       unreachableServices: this.#unreachableServices(servingPeers),
       shares: this.#options.shares(),
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -353,7 +353,7 @@
       waitMillis: Math.round(placement.waitMillis),
       expectedMillis: Math.round(placement.finishMillis),
       leftMillis: Math.round(remainingMillis),
-      revision: state.config?.revision,
+      revision: request.revision,
       sends: request.sends,
     });
     const newConnection = !connection.connected;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -21,7 +21,7 @@
 import { PeerTask } from "./peer_task.ts";
 import { RequestRunner } from "./request_runner.ts";
 import { StallMonitor } from "./stall_monitor.ts";
-import type { StateStore } from "./state_store.ts";
+import type { FollowedTable, StateStore } from "./state_store.ts";
 import { StateTask } from "./state_task.ts";
 
 /** Options of {@link startGateway}. */
@@ -292,6 +292,8 @@
 
   function registerGauges(): void {
     metrics.gauge("bamboolane_revision", () => state.config?.revision ?? 0);
+    metrics.gauge("bamboolane_config_age_millis", () => ageMillis("operator"));
+    metrics.gauge("bamboolane_targets_age_millis", () => ageMillis("targets"));
     metrics.gauge("bamboolane_in_flight", () => runner.inFlight);
     metrics.gauge("bamboolane_limited_targets", () => state.limitedTargetCount);
     metrics.gauge("bamboolane_leaving_targets", () => state.leavingTargetCount);
@@ -309,6 +311,11 @@
     );
   }
 
+  function ageMillis(table: FollowedTable): number {
+    const nowMillis = performance.now();
+    return state.confirmations.loggedAgeMillis(table, nowMillis) ?? Infinity;
+  }
+
   async function stopGracefully(): Promise<void> {
     stopping = true;
     const stopAtMillis = performance.now();
--- a/packages/gateway/src/state_store.ts
+++ b/packages/gateway/src/state_store.ts
@@ -17,15 +17,31 @@
 /** One of {@link StateTable}. */
 export type StateTable = typeof StateTable[keyof typeof StateTable];
 
+/** The tables that entries follow, and whose age they bound. */
+export type FollowedTable = Exclude<StateTable, "entries">;
+/** The followed tables, in the order of `RowVersions`. */
+export const FOLLOWED_TABLES = [
+  StateTable.operator,
+  StateTable.targets,
+] as const;
+
 /** All rows of a table as of one state version. */
 export interface TableSnapshot {
   rows: StateRow[];
   version: number;
+  /** The store's own clock; undefined if it doesn't tell. */
+  storeMillis?: number;
 }
 
 /** Result of a watch. */
 export type WatchResult =
-  | { kind: "changes"; rows: StateRow[]; version: number }
+  | {
+    kind: "changes";
+    rows: StateRow[];
+    version: number;
+    /** The store's own clock; undefined if it doesn't tell. */
+    storeMillis?: number;
+  }
   /**
    * The history since the requested version is no longer kept, or the store was
    * restored since.
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -11,10 +11,15 @@
 } from "@bamboolane/steering/elect_entries";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { fetchPeerState, PeerAnswerMemory } from "./fetch_peer_state.ts";
-import { TableFollower } from "./table_follower.ts";
-import type { GatewayState } from "./gateway_state.ts";
+import { type AnswerTimes, TableFollower } from "./table_follower.ts";
+import type { GatewayState, RowOrigin } from "./gateway_state.ts";
 import type { KnownState, RowDelta } from "./latest_rows.ts";
-import { type StateStore, StateTable } from "./state_store.ts";
+import {
+  type FollowedTable,
+  type StateStore,
+  StateTable,
+} from "./state_store.ts";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 
 /** Options of {@link StateTask}. */
 export interface StateTaskOptions {
@@ -113,13 +118,20 @@
    */
   handlePeerState(peer: EntryRecord, known: KnownState): void {
     const { state } = this.#options;
+    const nowMillis = performance.now();
+    state.confirmations.takeOver(known.confirmed, {
+      source: peer.id,
+      nowMillis,
+    });
     const [operator, targets] = state.latestRows.completeTo;
     const isBehind = known.versions[0] > operator ||
       known.versions[1] > targets ||
       (known.revision ?? 0) > (state.config?.revision ?? 0);
     if (!isBehind || !state.isComplete) return;
-    const nowMillis = performance.now();
-    this.#behindSinceMillis ??= nowMillis;
+    if (this.#behindSinceMillis === undefined) {
+      this.#behindSinceMillis = nowMillis;
+      this.#logAnnouncement(peer, known, nowMillis);
+    }
     const isSameDataCentre = peer.dataCentre === this.#options.self.dataCentre;
     const followsStore = this.#storeLostAtMillis === undefined &&
       this.#isFollower();
@@ -129,13 +141,35 @@
     this.#fetchFrom(peer.stateAddress);
   }
 
+  /** Logs from when on newer state could be fetched, and how old the state here is. */
+  #logAnnouncement(
+    peer: EntryRecord,
+    known: KnownState,
+    nowMillis: number,
+  ): void {
+    const { state, log } = this.#options;
+    const { confirmations, latestRows } = state;
+    const [operator, targets] = latestRows.completeTo;
+    log.info("newer_state_announced", {
+      peer: peer.id,
+      revision: known.revision,
+      operatorVersion: formatStateVersion(known.versions[0]),
+      targetsVersion: formatStateVersion(known.versions[1]),
+      knownRevision: state.config?.revision,
+      knownOperatorVersion: formatStateVersion(operator),
+      knownTargetsVersion: formatStateVersion(targets),
+      configAgeMillis: confirmations.loggedAgeMillis("operator", nowMillis),
+      targetsAgeMillis: confirmations.loggedAgeMillis("targets", nowMillis),
+    });
+  }
+
   #isFollower(): boolean {
     const { self, livePeers } = this.#options;
     const candidate = { id: self.id, reachesStore: this.reachesStore() };
     return isStoreFollower(candidate, livePeers());
   }
 
-  #createFollower(table: StateTable): TableFollower {
+  #createFollower(table: FollowedTable): TableFollower {
     const { store, state, log, random } = this.#options;
     return new TableFollower({
       store,
@@ -144,16 +178,24 @@
       random,
       isFollower: () => this.#isFollower(),
       sink: {
-        onSnapshot: (rows, version) => {
+        onSnapshot: (rows, times) => {
           state.applySnapshot(table, rows, {
-            version,
+            version: times.version,
             nowMillis: performance.now(),
+            origin: originOf("read", times),
           });
+          state.confirmations.confirmByStore(table, times);
           this.#behindSinceMillis = undefined;
         },
-        onChanges: (rows) => {
-          state.apply(rows, performance.now());
-          this.#behindSinceMillis = undefined;
+        onChanges: (rows, times) => {
+          if (rows.length > 0) {
+            state.apply(rows, {
+              nowMillis: performance.now(),
+              origin: originOf("watch", times),
+            });
+            this.#behindSinceMillis = undefined;
+          }
+          state.confirmations.confirmByStore(table, times);
         },
         onReachabilityChange: (reachable) => {
           const nowMillis = performance.now();
@@ -243,13 +285,17 @@
     if (delta.rows.length === 0) {
       return state.latestRows.recordComplete(delta.completeTo);
     }
+    const { confirmations } = state;
     log.info("state_borrowed", {
       from: address,
       rows: delta.rows.length,
       whole: delta.whole,
+      tookMillis: Math.round(performance.now() - nowMillis),
+      configAgeMillis: confirmations.loggedAgeMillis("operator", nowMillis),
+      targetsAgeMillis: confirmations.loggedAgeMillis("targets", nowMillis),
     });
     try {
-      this.#apply(delta);
+      this.#apply(delta, address);
     } catch (error) {
       const { message, stack } = error as Error;
       log.error("borrowed_state_failed", {
@@ -260,9 +306,12 @@
     }
   }
 
-  #apply({ rows, whole, completeTo }: RowDelta): void {
+  #apply({ rows, whole, completeTo }: RowDelta, address: string): void {
     const { state } = this.#options;
-    const nowMillis = performance.now();
+    const options = {
+      nowMillis: performance.now(),
+      origin: { source: address },
+    };
     const [operator, targets] = completeTo;
     if (whole) {
       const tables = [
@@ -272,10 +321,10 @@
       for (const [table, version] of tables) {
         // The sender has not read the table yet.
         if (version === 0) continue;
-        state.applySnapshot(table, rows, { version, nowMillis });
+        state.applySnapshot(table, rows, { version, ...options });
       }
     } else {
-      state.apply(rows, nowMillis);
+      state.apply(rows, options);
       state.latestRows.recordComplete(completeTo);
     }
     this.#operatorFollower.advance(operator);
@@ -283,3 +332,11 @@
     this.#behindSinceMillis = undefined;
   }
 }
+
+function originOf(call: string, times: AnswerTimes): RowOrigin {
+  return {
+    source: call,
+    storeMillis: times.storeMillis,
+    absentAtStoreMillis: times.previousStoreMillis,
+  };
+}
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -7,13 +7,25 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { formatStateVersion } from "@bamboolane/steering/state_version";
 import type { StateRow } from "@bamboolane/steering/steering_config";
-import type { StateStore, StateTable } from "./state_store.ts";
+import type { FollowedTable, StateStore } from "./state_store.ts";
+
+/** When an answer of the store was true. */
+export interface AnswerTimes {
+  version: number;
+  /** When the store was asked. */
+  askedAtMillis: number;
+  /** The store's clock in this answer, if it tells. */
+  storeMillis?: number;
+  /** The store's clock in the answer before. */
+  previousStoreMillis?: number;
+}
 
 /** Receives what a follower reads. */
 export interface TableSink {
-  /** All rows of the table as of `version`. */
-  onSnapshot(rows: StateRow[], version: number): void;
-  onChanges(rows: StateRow[], version: number): void;
+  /** All rows of the table as of a version. */
+  onSnapshot(rows: StateRow[], times: AnswerTimes): void;
+  /** Changes up to a version; without rows if there were none. */
+  onChanges(rows: StateRow[], times: AnswerTimes): void;
   /**
    * Called with false after each failed call, and with true when the store
    * answers again, before the rows of that answer.
@@ -24,7 +36,7 @@
 /** Options of {@link TableFollower}. */
 export interface TableFollowerOptions {
   store: StateStore;
-  table: StateTable;
+  table: FollowedTable;
   sink: TableSink;
   log: EventLog;
   /** True while this entry follows the table for its data centre. */
@@ -52,6 +64,7 @@
   #stopped = false;
   #failures = 0;
   #lastSuccessAtMillis = 0;
+  #storeMillis: number | undefined;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -110,6 +123,7 @@
   /** Returns false if the answer was stale. */
   async #readSnapshot(): Promise<boolean> {
     const { store, table, sink, log } = this.#options;
+    const askedAtMillis = performance.now();
     const snapshot = await store.read(table);
     this.#recordSuccess();
     if (snapshot.version < this.#version) {
@@ -121,13 +135,14 @@
       return false;
     }
     this.#version = snapshot.version;
-    sink.onSnapshot(snapshot.rows, snapshot.version);
+    sink.onSnapshot(snapshot.rows, this.#timesOf(snapshot, askedAtMillis));
     return true;
   }
 
   /** Returns true if a new snapshot is needed. */
   async #watch(): Promise<boolean> {
     const { store, table, sink, log } = this.#options;
+    const askedAtMillis = performance.now();
     const result = await store.watch(table, this.#version, {
       waitMillis: MAX_WATCH_MILLIS,
     });
@@ -140,15 +155,23 @@
         });
         return true;
       case "changes":
-        if (result.rows.length > 0) {
-          sink.onChanges(result.rows, result.version);
-          await pause(MIN_WATCH_INTERVAL_MILLIS);
-        }
+        sink.onChanges(result.rows, this.#timesOf(result, askedAtMillis));
+        if (result.rows.length > 0) await pause(MIN_WATCH_INTERVAL_MILLIS);
         this.advance(result.version);
         return false;
     }
   }
 
+  #timesOf(
+    answer: { version: number; storeMillis?: number },
+    askedAtMillis: number,
+  ): AnswerTimes {
+    const previousStoreMillis = this.#storeMillis;
+    this.#storeMillis = answer.storeMillis;
+    const { version, storeMillis } = answer;
+    return { version, askedAtMillis, storeMillis, previousStoreMillis };
+  }
+
   #recordSuccess(): void {
     this.#lastSuccessAtMillis = performance.now();
     if (this.#failures === 0) return;
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -51,6 +51,10 @@
 /** Descriptions of the gauges, by name. */
 export const GAUGE_DESCRIPTIONS = {
   bamboolane_revision: "Configuration revision in force.",
+  bamboolane_config_age_millis:
+    "Time since the configuration was known to be the newest.",
+  bamboolane_targets_age_millis:
+    "Time since the targets were known to be complete.",
   bamboolane_cut_off: "1 while the revision can't be proven newest.",
   bamboolane_in_flight: "Requests held by this instance.",
   bamboolane_live_instances: "Instances considered live.",
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -150,6 +150,7 @@
             rows: this.#rowsChangedAfter(table, 0).filter(exists)
               .map((row) => this.#withLink(client, row)),
             version: this.#stateVersion(this.#version),
+            storeMillis: this.#clockMillis(),
           };
         });
       },
@@ -181,6 +182,7 @@
                 kind: "changes",
                 rows,
                 version: this.#stateVersion(this.#version),
+                storeMillis: this.#clockMillis(),
               };
             }
             await new Promise((resolve) =>
@@ -221,6 +223,10 @@
       : { ...row, record: { ...row.record, address } };
   }
 
+  #clockMillis(): number {
+    return Math.round(performance.now());
+  }
+
   #stateVersion(version: number): number {
     return toStateVersion({ era: this.#era, version });
   }
