Bound the age of an entry's state at that entry

What callers see: a dropped route is still served, and drained, removed or evacuated targets still get requests, longer after the acknowledgement than the bounds allow, while paths to the store fail. Cause: nobody knew how old its state was. Entries that don't follow the store waited for those that do, whose silence counted after a watch of 2 s and its timeout of 1 s, and once more after each further fault; a follower waited that long on a connection that had gone silent, also where new ones worked. The failure of such a call counted as an outage of the store although other calls were answered, so that removed targets stayed in use as lapsed for 2 s more. Change: each entry measures the age of the configuration and the targets, by the store's clock in its answers; what the store confirmed to one entry counts for all that have the same state. From a share of the shortest bound in the settings on, an entry asks the store itself, on a new connection, and again while there is no answer, in turn for changes and for all rows. Watches are shorter. A call that fails after a later one was answered is no outage. Up to three fetches from other entries run side by side.

--- a/packages/gateway/features/held_memory_steps.ts
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -70,6 +70,7 @@
   seeds: [],
   dataCentres: { a1: "a" },
   graceMillis: 1000,
+  applyWithinMillis: 2500,
   lookupTtlMillis: 1000,
   retryBudget: { ratio: 0, allowance: 0, windowMillis: 1000 },
   log: { level: "error" },
--- a/packages/gateway/features/state_age.feature
+++ b/packages/gateway/features/state_age.feature
@@ -53,3 +53,13 @@
     And the log of "e3" has "config_applied" with "revision=9", "source=127", "version=" and "ageMillis"
     When a caller of "e3" gets "/brief/x" 1 times in a row
     Then the log of "e3" has "request" with "revision=9", "configAgeMillis", "targetsAgeMillis" and "outcome"
+
+  Scenario Outline: An entry takes over what the store confirmed to another one only if it has the same state
+    Given an entry that knows all changes to version 10
+    When another entry tells that the store confirmed version 30 to it, with the last change at <changed>
+    Then the first entry <effect>
+
+    Examples:
+      | changed | effect                           |
+      | 10      | knows all changes to version 30  |
+      | 11      | still knows changes to version 10 |
--- a/packages/gateway/features/state_age_steps.ts
+++ b/packages/gateway/features/state_age_steps.ts
@@ -3,6 +3,8 @@
  */
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { LatestRows } from "@bamboolane/gateway/latest_rows";
+import { StateConfirmations } from "@bamboolane/gateway/state_confirmations";
 import { StateTable } from "@bamboolane/gateway/state_store";
 import type { GatewayState } from "@bamboolane/gateway/gateway_state";
 import { gatewayOf, pause, world } from "./support/scenario.ts";
@@ -149,3 +151,36 @@
       );
     }, `${event} of ${entry}`),
 );
+
+let rows: LatestRows;
+let confirmations: StateConfirmations;
+
+Given("an entry that knows all changes to version {int}", (version: number) => {
+  rows = new LatestRows();
+  confirmations = new StateConfirmations(rows);
+  rows.recordSnapshot([version, version]);
+});
+
+When(
+  "another entry tells that the store confirmed version {int} to it, with the last change at {int}",
+  (completeTo: number, changedAt: number) => {
+    const confirmation = { completeTo, changedAt, ageMillis: 200 };
+    confirmations.takeOver(
+      { operator: confirmation, targets: confirmation },
+      { source: "e2", nowMillis: 1000 },
+    );
+  },
+);
+
+Then(
+  /^the first entry (knows all|still knows) changes to version (\d+)$/,
+  (knowledge: string, version: string) => {
+    assert.deepEqual(rows.completeTo, [Number(version), Number(version)]);
+    for (const table of ["operator", "targets"] as const) {
+      assert.equal(
+        confirmations.loggedAgeMillis(table, 1000),
+        knowledge === "knows all" ? 200 : undefined,
+      );
+    }
+  },
+);
--- a/packages/gateway/features/support/test_gateway.ts
+++ b/packages/gateway/features/support/test_gateway.ts
@@ -207,6 +207,7 @@
       ),
       dataCentres: { a1: "a", a2: "a", b1: "b" },
       graceMillis: options.graceMillis ?? 1200,
+      applyWithinMillis: 2500,
       lookupTtlMillis: 1000,
       // A high ratio replaces requests that would earn the budget first.
       retryBudget: {
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -32,6 +32,8 @@
   dataCentres: DataCentreRegions;
   /** How long a stopping process may take until it is killed. */
   graceMillis: number;
+  /** Time within which a change in the store must be in force at an entry that reaches it. */
+  applyWithinMillis: number;
   /** Maximum time that a directory answer may be cached. */
   lookupTtlMillis: number;
   /** Budget of each service; see `RetryBudgetSettings` of the steering package. */
--- a/packages/gateway/src/latest_rows.ts
+++ b/packages/gateway/src/latest_rows.ts
@@ -15,7 +15,7 @@
   completeTo: number;
   /** Version of the last of these changes: who is complete to it lacks none of them. */
   changedAt: number;
-  /** Time since the entry asked the store. */
+  /** Time since the store's answer was true. */
   ageMillis: number;
 }
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -147,6 +147,7 @@
     seeds: settings.seeds,
     self,
     livePeers: () => peers.livePeers(),
+    applyWithinMillis: settings.applyWithinMillis,
     log,
     random: Math.random,
   });
--- a/packages/gateway/src/state_confirmations.ts
+++ b/packages/gateway/src/state_confirmations.ts
@@ -10,6 +10,9 @@
   StateTable,
 } from "./state_store.ts";
 
+/** Age from which a confirmation is not told to others any more: each has newer ones. */
+const MAX_TOLD_AGE_MILLIS = 5000;
+
 /** Throws unless confirmations of another entry consist of numbers. */
 export function checkConfirmations(confirmations: Confirmations = {}): void {
   for (const table of FOLLOWED_TABLES) {
@@ -44,13 +47,13 @@
     return millis === Infinity ? undefined : Math.round(millis);
   }
 
-  /** Records an answer of the store to a call that was made at `askedAtMillis`. */
+  /** Records an answer of the store. */
   confirmByStore(
     table: FollowedTable,
-    answer: { version: number; askedAtMillis: number },
+    answer: { version: number; answeredAtMillis: number },
   ): void {
     this.#rows.recordComplete(versionsOf(table, answer.version));
-    this.#ages[table].confirm(answer.askedAtMillis, STORE_SOURCE);
+    this.#ages[table].confirm(answer.answeredAtMillis, STORE_SOURCE);
   }
 
   /** What the store confirmed to this entry, for the others. */
@@ -58,7 +61,7 @@
     const confirmations: Confirmations = {};
     FOLLOWED_TABLES.forEach((table, i) => {
       const ageMillis = this.#ages[table].millisByStore(nowMillis);
-      if (ageMillis === Infinity) return;
+      if (ageMillis > MAX_TOLD_AGE_MILLIS) return;
       confirmations[table] = {
         completeTo: this.#rows.completeTo[i],
         changedAt: this.#rows.changedAt[i],
@@ -68,6 +71,13 @@
     return confirmations;
   }
 
+  /** True if this entry has all changes that the store confirmed to another one. */
+  covers(confirmations: Confirmations = {}): boolean {
+    return FOLLOWED_TABLES.every((table, i) =>
+      this.#rows.completeTo[i] >= (confirmations[table]?.changedAt ?? 0)
+    );
+  }
+
   /** Takes over what the store confirmed to another entry, as far as this one has its state. */
   takeOver(
     confirmations: Confirmations = {},
--- a/packages/gateway/src/state_store.ts
+++ b/packages/gateway/src/state_store.ts
@@ -48,14 +48,20 @@
    */
   | { kind: "gap" };
 
+/** How a call is made. */
+export interface CallOptions {
+  /** Uses a connection of its own: open ones may have gone silent. */
+  newConnection?: boolean;
+}
+
 /** The store. Calls reject with {@link StoreError}. */
 export interface StateStore {
-  read(table: StateTable): Promise<TableSnapshot>;
+  read(table: StateTable, options?: CallOptions): Promise<TableSnapshot>;
   /** Resolves at the first change after `afterVersion`, or without rows after `waitMillis`. */
   watch(
     table: StateTable,
     afterVersion: number,
-    options: { waitMillis: number },
+    options: CallOptions & { waitMillis: number },
   ): Promise<WatchResult>;
   /** Publishes this entry's record. */
   register(record: EntryRecord): Promise<void>;
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -2,7 +2,8 @@
  * Keeps the state of this entry current. A few entries of each data centre
  * follow the store's tables; the others fetch changes from them as soon as a
  * heartbeat announces newer versions. What a data centre's followers don't get
- * from the store is fetched from other data centres in the same way.
+ * from the store is fetched from other data centres in the same way. An entry
+ * whose state nobody confirmed for some time asks the store itself.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import {
@@ -10,7 +11,9 @@
   isStoreFollower,
 } from "@bamboolane/steering/elect_entries";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import { planStatePace } from "@bamboolane/steering/plan_state_pace";
 import { fetchPeerState, PeerAnswerMemory } from "./fetch_peer_state.ts";
+import { StateAgeGuard } from "./state_age_guard.ts";
 import { type AnswerTimes, TableFollower } from "./table_follower.ts";
 import type { GatewayState, RowOrigin } from "./gateway_state.ts";
 import type { KnownState, RowDelta } from "./latest_rows.ts";
@@ -29,6 +32,8 @@
   self: EntryRecord;
   /** The other live entries of the data centre. */
   livePeers: () => readonly Candidate[];
+  /** Time within which a change in the store must be in force. */
+  applyWithinMillis: number;
   log: EventLog;
   random: () => number;
 }
@@ -44,6 +49,8 @@
  * many rows change.
  */
 const MIN_FETCH_INTERVAL_MILLIS = 150;
+/** Maximum number of fetches at a time, so that one that hangs keeps none waiting. */
+const MAX_FETCHES = 3;
 /** How often an entry without any state tries to fetch it from all others. */
 const STARTUP_FETCH_INTERVAL_MILLIS = 500;
 /** Time after its last failed call until an entry counts as able to follow the store again. */
@@ -63,10 +70,12 @@
   readonly #answerMemory = new PeerAnswerMemory();
   readonly #operatorFollower: TableFollower;
   readonly #targetsFollower: TableFollower;
+  readonly #ageGuard: StateAgeGuard;
   /** When a peer was first seen to have newer rows, since rows were last applied. */
   #behindSinceMillis: number | undefined;
   #fetchedAtMillis = -Infinity;
-  #fetching = false;
+  /** Addresses from which state is being fetched. */
+  readonly #fetching = new Set<string>();
   /** Time of the last failed call of the store; undefined once a call succeeds. */
   #storeLostAtMillis: number | undefined;
   #stopped = false;
@@ -81,11 +90,24 @@
     this.#options = options;
     this.#operatorFollower = this.#createFollower(StateTable.operator);
     this.#targetsFollower = this.#createFollower(StateTable.targets);
+    this.#ageGuard = new StateAgeGuard({
+      ...options,
+      pace: planStatePace(options.applyWithinMillis),
+      confirmations: options.state.confirmations,
+      ask: (table) => this.#followerOf(table).ask(),
+    });
+  }
+
+  #followerOf(table: FollowedTable): TableFollower {
+    return table === StateTable.operator
+      ? this.#operatorFollower
+      : this.#targetsFollower;
   }
 
   start(): void {
     this.#operatorFollower.start();
     this.#targetsFollower.start();
+    this.#ageGuard.start();
     let tick = 0;
     this.#membersReadTimer = setInterval(() => {
       tick++;
@@ -104,6 +126,7 @@
     clearInterval(this.#membersReadTimer);
     this.#operatorFollower.stop();
     this.#targetsFollower.stop();
+    this.#ageGuard.stop();
   }
 
   /** True unless this entry lost the store recently. */
@@ -126,7 +149,9 @@
     const [operator, targets] = state.latestRows.completeTo;
     const isBehind = known.versions[0] > operator ||
       known.versions[1] > targets ||
-      (known.revision ?? 0) > (state.config?.revision ?? 0);
+      (known.revision ?? 0) > (state.config?.revision ?? 0) ||
+      // While the store is reached, the table's own bound is enough.
+      (!this.reachesStore() && !state.confirmations.covers(known.confirmed));
     if (!isBehind || !state.isComplete) return;
     if (this.#behindSinceMillis === undefined) {
       this.#behindSinceMillis = nowMillis;
@@ -170,8 +195,9 @@
   }
 
   #createFollower(table: FollowedTable): TableFollower {
-    const { store, state, log, random } = this.#options;
+    const { store, state, log, random, applyWithinMillis } = this.#options;
     return new TableFollower({
+      watchMillis: planStatePace(applyWithinMillis).watchMillis,
       store,
       table,
       log,
@@ -269,18 +295,19 @@
     const { log, state } = this.#options;
     const nowMillis = performance.now();
     const sinceFetchMillis = nowMillis - this.#fetchedAtMillis;
-    const isTooSoon = this.#fetching ||
+    const isTooSoon = this.#fetching.has(address) ||
+      this.#fetching.size >= MAX_FETCHES ||
       sinceFetchMillis < MIN_FETCH_INTERVAL_MILLIS;
     if (isTooSoon && !options.force) return;
     this.#fetchedAtMillis = nowMillis;
-    this.#fetching = true;
+    this.#fetching.add(address);
     const delta = await fetchPeerState(address, {
       completeTo: state.latestRows.completeTo,
       revision: state.config?.revision ?? 0,
       memory: this.#answerMemory,
       log,
     });
-    this.#fetching = false;
+    this.#fetching.delete(address);
     if (delta === undefined) return;
     if (delta.rows.length === 0) {
       return state.latestRows.recordComplete(delta.completeTo);
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -1,19 +1,21 @@
 /**
  * Follows one table of the store: reads a snapshot, then watches for changes
  * while this entry is a follower, and reads a snapshot again after a gap in the
- * history. Versions never decrease: an answer that is older than the known
- * version comes from a stale replica, and the read is repeated.
+ * history. Any entry can ask for the table once, besides what is under way.
+ * Versions never decrease: an answer that is older than the known version comes
+ * from a stale replica, and the read is repeated.
  */
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { formatStateVersion } from "@bamboolane/steering/state_version";
+import { StoreClock } from "@bamboolane/steering/store_clock";
 import type { StateRow } from "@bamboolane/steering/steering_config";
-import type { FollowedTable, StateStore } from "./state_store.ts";
+import type { CallOptions, FollowedTable, StateStore } from "./state_store.ts";
 
 /** When an answer of the store was true. */
 export interface AnswerTimes {
   version: number;
-  /** When the store was asked. */
-  askedAtMillis: number;
+  /** When the answer was true, on this entry's clock. */
+  answeredAtMillis: number;
   /** The store's clock in this answer, if it tells. */
   storeMillis?: number;
   /** The store's clock in the answer before. */
@@ -41,11 +43,11 @@
   log: EventLog;
   /** True while this entry follows the table for its data centre. */
   isFollower: () => boolean;
+  /** Maximum wait of one watch. */
+  watchMillis: number;
   random: () => number;
 }
 
-/** Maximum wait of one watch; also the time within which an outage is detected. */
-const MAX_WATCH_MILLIS = 2000;
 /** Delay after the first failed call; doubles with each further one up to the maximum. */
 const INITIAL_RETRY_MILLIS = 100;
 const MAX_RETRY_MILLIS = 800;
@@ -64,7 +66,11 @@
   #stopped = false;
   #failures = 0;
   #lastSuccessAtMillis = 0;
+  readonly #clock = new StoreClock();
   #storeMillis: number | undefined;
+  #needsSnapshot = true;
+  /** Single calls in a row without an answer. */
+  #unansweredAsks = 0;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -96,69 +102,107 @@
     this.#stopped = true;
   }
 
+  /**
+   * Asks for changes once, on a new connection and without waiting for any; for all rows
+   * if the call before got no answer, as the store may serve one kind of call only.
+   * Resolves to false without an answer.
+   */
+  async ask(): Promise<boolean> {
+    const askedAtMillis = performance.now();
+    const readsAll = this.#needsSnapshot || this.#unansweredAsks % 2 === 1;
+    this.#unansweredAsks++;
+    try {
+      if (!readsAll) await this.#watch({ waitMillis: 0, newConnection: true });
+      if (readsAll || this.#needsSnapshot) {
+        await this.#readSnapshot({ newConnection: true });
+      }
+      this.#unansweredAsks = 0;
+      return true;
+    } catch (error) {
+      if (!this.#stopped) this.#recordFailure(error as Error, askedAtMillis);
+      return false;
+    }
+  }
+
   async #run(): Promise<void> {
-    let needsSnapshot = true;
     while (!this.#stopped) {
+      const askedAtMillis = performance.now();
       try {
-        if (!this.#options.isFollower() && !needsSnapshot) {
+        if (!this.#options.isFollower() && !this.#needsSnapshot) {
           await pause(INACTIVE_POLL_MILLIS);
-        } else if (needsSnapshot) {
-          needsSnapshot = !await this.#readSnapshot();
-          if (needsSnapshot) await pause(INITIAL_RETRY_MILLIS);
+        } else if (this.#needsSnapshot) {
+          await this.#readSnapshot();
+          if (this.#needsSnapshot) await pause(INITIAL_RETRY_MILLIS);
         } else {
-          needsSnapshot = await this.#watch();
+          await this.#follow();
         }
       } catch (error) {
         if (this.#stopped) return;
-        this.#recordFailure(error as Error);
+        this.#recordFailure(error as Error, askedAtMillis);
         const backoffMillis = Math.min(
           MAX_RETRY_MILLIS,
-          INITIAL_RETRY_MILLIS * 2 ** Math.min(8, this.#failures - 1),
+          INITIAL_RETRY_MILLIS *
+            2 ** Math.min(8, Math.max(0, this.#failures - 1)),
         );
         await pause(backoffMillis * (0.5 + this.#options.random()));
       }
     }
   }
 
-  /** Returns false if the answer was stale. */
-  async #readSnapshot(): Promise<boolean> {
-    const { store, table, sink, log } = this.#options;
+  /** Leaves the need for a snapshot if the answer is stale. */
+  async #readSnapshot(options: CallOptions = {}): Promise<void> {
+    const { store, table, sink } = this.#options;
     const askedAtMillis = performance.now();
-    const snapshot = await store.read(table);
+    const snapshot = await store.read(table, options);
     this.#recordSuccess();
     if (snapshot.version < this.#version) {
-      log.info("stale_read", {
-        table,
-        version: formatStateVersion(snapshot.version),
-        known: formatStateVersion(this.#version),
-      });
-      return false;
+      return this.#logStaleRead(snapshot.version);
     }
     this.#version = snapshot.version;
+    this.#needsSnapshot = false;
     sink.onSnapshot(snapshot.rows, this.#timesOf(snapshot, askedAtMillis));
-    return true;
   }
 
-  /** Returns true if a new snapshot is needed. */
-  async #watch(): Promise<boolean> {
+  #logStaleRead(version: number): void {
+    this.#options.log.info("stale_read", {
+      table: this.#options.table,
+      version: formatStateVersion(version),
+      known: formatStateVersion(this.#version),
+    });
+  }
+
+  async #follow(): Promise<void> {
+    const changeCount = await this.#watch({
+      waitMillis: this.#options.watchMillis,
+    });
+    if (changeCount > 0) await pause(MIN_WATCH_INTERVAL_MILLIS);
+  }
+
+  /** Returns the number of changes; after a gap, a snapshot is needed. */
+  async #watch(
+    options: CallOptions & { waitMillis: number },
+  ): Promise<number> {
     const { store, table, sink, log } = this.#options;
     const askedAtMillis = performance.now();
-    const result = await store.watch(table, this.#version, {
-      waitMillis: MAX_WATCH_MILLIS,
-    });
+    const afterVersion = this.#version;
+    const result = await store.watch(table, afterVersion, options);
     this.#recordSuccess();
     switch (result.kind) {
       case "gap":
         log.info("history_gap", {
           table,
-          version: formatStateVersion(this.#version),
+          version: formatStateVersion(afterVersion),
         });
-        return true;
+        this.#needsSnapshot = true;
+        return 0;
       case "changes":
+        if (result.version < afterVersion) {
+          this.#logStaleRead(result.version);
+          return 0;
+        }
         sink.onChanges(result.rows, this.#timesOf(result, askedAtMillis));
-        if (result.rows.length > 0) await pause(MIN_WATCH_INTERVAL_MILLIS);
         this.advance(result.version);
-        return false;
+        return result.rows.length;
     }
   }
 
@@ -166,10 +210,15 @@
     answer: { version: number; storeMillis?: number },
     askedAtMillis: number,
   ): AnswerTimes {
-    const previousStoreMillis = this.#storeMillis;
-    this.#storeMillis = answer.storeMillis;
     const { version, storeMillis } = answer;
-    return { version, askedAtMillis, storeMillis, previousStoreMillis };
+    const previousStoreMillis = this.#storeMillis;
+    this.#storeMillis = storeMillis;
+    const answeredAtMillis = this.#clock.answeredAtMillis({
+      storeMillis,
+      askedAtMillis,
+      receivedAtMillis: performance.now(),
+    });
+    return { version, answeredAtMillis, storeMillis, previousStoreMillis };
   }
 
   #recordSuccess(): void {
@@ -183,12 +232,17 @@
     this.#options.sink.onReachabilityChange(true);
   }
 
-  #recordFailure(error: Error): void {
+  /** Records a call without an answer, unless a later one had one: the store is reached. */
+  #recordFailure(error: Error, askedAtMillis: number): void {
+    const { table, log } = this.#options;
+    if (askedAtMillis < this.#lastSuccessAtMillis) {
+      return log.info("store_call_failed", { table, error: error.message });
+    }
     this.#failures++;
     this.#options.sink.onReachabilityChange(false);
     if (this.#failures > 1) return;
-    this.#options.log.warn("store_lost", {
-      table: this.#options.table,
+    log.warn("store_lost", {
+      table,
       error: error.message,
       version: formatStateVersion(this.#version),
       ageMillis: Math.round(performance.now() - this.#lastSuccessAtMillis),
--- a/tools/src/replay/simulated_entry.ts
+++ b/tools/src/replay/simulated_entry.ts
@@ -119,6 +119,7 @@
       seeds: [],
       dataCentres: this.#context.dataCentres,
       graceMillis: 0,
+      applyWithinMillis: 2500,
       lookupTtlMillis: 0,
       retryBudget: { ratio: 0, allowance: 0, windowMillis: 10_000 },
       log: { level: "error" },
