Run no forwarded request by an older revision than the one that matched it

What callers see: while an entry reaches no targets and forwards what it gets, requests may be run by a revision that is no longer in force at the entry that they were sent to, for as long as the other one is behind. Cause: a forwarded request was matched once more, by whatever revision the receiving entry had; it wasn't told by which the first one had matched it. Change: the revision goes with the request. An entry with an older one refuses it as not run, and the first entry tries another; entries of an older build send none. The header is not passed on to targets.

--- a/packages/gateway/features/forwarded_answer_steps.ts
+++ b/packages/gateway/features/forwarded_answer_steps.ts
@@ -3,8 +3,12 @@
  * they forward to.
  */
 import assert from "node:assert/strict";
-import { After, Given, Then } from "@cucumber/cucumber";
-import { RESULT_HEADER } from "@bamboolane/gateway/forwarding_headers";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { request } from "undici";
+import {
+  FORWARDED_HEADER,
+  RESULT_HEADER,
+} from "@bamboolane/gateway/forwarding_headers";
 import {
   type ScriptedTarget,
   startScriptedTarget,
@@ -68,3 +72,51 @@
   const ids = received.map(({ headers }) => headers["test-request"]);
   assert.equal(new Set(ids).size, ids.length, `reached twice: ${ids}`);
 });
+
+Then(
+  "the stand-in was told revision {int} with each request",
+  (revision: number) => {
+    const told = (standin as ScriptedTarget).received.map(({ headers }) =>
+      headers["bamboolane-revision"]
+    );
+    assert.ok(told.length > 0);
+    assert.deepEqual(new Set(told), new Set([String(revision)]));
+  },
+);
+
+let forwardedStatus: number;
+
+When(
+  /^a request to "(.*)" that was matched by (no revision|revision \d+) is forwarded to "(.*)"$/,
+  async (path: string, matchedBy: string, entry: string) => {
+    const { peers } = world.system.settings(entry).listen;
+    const answer = await request(`http://${peers}${path}`, {
+      headers: {
+        host: "test.example",
+        "test-request": "forwarded",
+        "test-deadline": "1500",
+        [FORWARDED_HEADER]: "0, 0",
+        ...(matchedBy === "no revision"
+          ? {}
+          : { "bamboolane-revision": matchedBy.slice("revision ".length) }),
+      },
+    });
+    await answer.body.dump();
+    forwardedStatus = answer.statusCode;
+    assert.equal(
+      answer.headers[RESULT_HEADER],
+      forwardedStatus === 503 ? "refused" : undefined,
+    );
+  },
+);
+
+Then(
+  "the forwarded request is answered {int} and reached {string} {int} times",
+  (status: number, target: string, times: number) => {
+    assert.equal(forwardedStatus, status);
+    const { received } = world.system.targets.get(target) as ScriptedTarget;
+    assert.equal(received.length, times);
+    const told = received.map(({ headers }) => headers["bamboolane-revision"]);
+    assert.deepEqual(told.filter((text) => text !== undefined), []);
+  },
+);
--- a/packages/gateway/features/forwarded_answers.feature
+++ b/packages/gateway/features/forwarded_answers.feature
@@ -31,3 +31,24 @@
     When a caller of "e1" posts "/write/x" until it is served, 6 requests with 9 tries each
     Then each of these requests was served
     And none ran twice, or was refused while it ran
+
+  Scenario: An entry is told the revision of what another one forwards to it
+    Given a target "t1" that answers
+    And an entry "e1" without links to "t1"
+    And a stand-in for an entry "e2" that refuses each request once, and then sends a copy before the next answer
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x" until it is served, 2 requests with 9 tries each
+    Then the stand-in was told revision 5 with each request
+
+  Scenario Outline: An entry with revision 5 runs no request that was matched by a newer one
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a request to "/read/x" that was matched by <revision> is forwarded to "e1"
+    Then the forwarded request is answered <status> and reached "t1" <times> times
+
+    Examples:
+      | revision    | status | times |
+      | revision 9  | 503    | 0     |
+      | revision 5  | 200    | 1     |
+      | revision 4  | 200    | 1     |
+      | no revision | 200    | 1     |
--- a/packages/gateway/src/forwarding_headers.ts
+++ b/packages/gateway/src/forwarding_headers.ts
@@ -6,6 +6,11 @@
 
 /** State of a forwarded request, in the request. */
 export const FORWARDED_HEADER = "bamboolane-forwarded";
+/**
+ * Revision that matched a forwarded request; an entry with an older one refuses it.
+ * Entries of an older build send none.
+ */
+export const REVISION_HEADER = "bamboolane-revision";
 /**
  * Kind of an answer that the receiving entry itself generated; a target's answer has
  * none.
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -29,6 +29,7 @@
   type ForwardedState,
   parseForwarded,
   resultHeaders,
+  REVISION_HEADER,
 } from "./forwarding_headers.ts";
 import type {
   GatewayRequest,
@@ -321,6 +322,12 @@
         retryAfterMillis: NO_CONFIG_RETRY_MILLIS,
       });
     }
+    if (this.#isOfNewerRevision(request)) {
+      return this.#reject(request, response, {
+        status: 503,
+        reason: "older revision",
+      });
+    }
     const url = request.url ?? "/";
     const path = url.split("?", 1)[0];
     const route = state.matchRoute(request.headers.host ?? "", path);
@@ -564,6 +571,13 @@
     return state ?? { sends: 0, elapsedMillis: 0 };
   }
 
+  /** True if another entry matched the request by a revision that this one doesn't have yet. */
+  #isOfNewerRevision(request: IncomingMessage): boolean {
+    if (!this.#servesEntries) return false;
+    const revision = Number(request.headers[REVISION_HEADER] ?? 0);
+    return revision > (this.#options.state.config?.revision ?? 0);
+  }
+
   /** Headers that tell another entry that the answer is this one's own. */
   #ownHeaders(
     request: IncomingMessage,
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -97,6 +97,7 @@
       dialect,
       recipient: {
         kind: "entry",
+        revision: request.revision,
         state: {
           sends: request.arrivals,
           elapsedMillis: nowMillis - request.arrivedAtMillis,
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -10,7 +10,7 @@
 import { ByteCollector } from "./byte_collector.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
-import { FORWARDED_HEADER } from "./forwarding_headers.ts";
+import { FORWARDED_HEADER, REVISION_HEADER } from "./forwarding_headers.ts";
 import type { MemoryShare } from "./memory_budget.ts";
 
 /** Bodies above this size are large: they may take only a part of the memory. */
@@ -60,6 +60,7 @@
         dialect.deadlineHeader,
         dialect.expectedTargetHeader,
         FORWARDED_HEADER,
+        REVISION_HEADER,
       ]),
     ),
     object: route.affinity ? dialect.parseObject(headers.cookie) : undefined,
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -12,6 +12,7 @@
   FORWARDED_HEADER,
   type ForwardedState,
   RESULT_HEADER,
+  REVISION_HEADER,
 } from "./forwarding_headers.ts";
 import {
   type GatewayRequest,
@@ -93,7 +94,7 @@
 /** Who receives a request: a target, or another entry that sends it to one. */
 export type Recipient =
   | { kind: "target"; id: string }
-  | { kind: "entry"; state: ForwardedState };
+  | { kind: "entry"; state: ForwardedState; revision: number | undefined };
 
 /** Options of {@link sendAttempt}. */
 export interface AttemptOptions {
@@ -476,12 +477,18 @@
 /** Headers that name the recipient, or tell it what happened to the request before. */
 function recipientHeaders(
   { recipient, dialect }: AttemptOptions,
-): [string, string] {
+): string[] {
   switch (recipient.kind) {
     case "target":
       return [dialect.expectedTargetHeader, recipient.id];
     case "entry":
-      return [FORWARDED_HEADER, formatForwarded(recipient.state)];
+      return [
+        FORWARDED_HEADER,
+        formatForwarded(recipient.state),
+        ...(recipient.revision === undefined
+          ? []
+          : [REVISION_HEADER, String(recipient.revision)]),
+      ];
   }
 }
 
