Pass on no answer with a status above 599

What callers see: an answer such as "HTTP/1.1 600" of a target in trouble was passed on as it was, with its signature; HTTP has no such status. Cause: statuses below 100 don't pass the parser; none checked the upper bound. Change: such an answer ends its attempt like other bytes that are no answer; it states nothing of its target and proves nothing about the run. Result: six scenarios failed before (600, 999, a long answer, one that claims not to have run, one over a forward, one among pipelined requests) and pass; 000 and 099 gave 502 before too. 29 scenarios of faulty answers passed.

--- a/packages/gateway/features/faulty_answer_steps.ts
+++ b/packages/gateway/features/faulty_answer_steps.ts
@@ -102,3 +102,8 @@
     assert.ok(endless.bytes <= kilobytes * 1000, `${endless.bytes} bytes`);
   },
 );
+
+Then(
+  "the answer has no signature",
+  () => assert.equal(lastReply().headers["test-signature"], undefined),
+);
--- a/packages/gateway/features/faulty_answers.feature
+++ b/packages/gateway/features/faulty_answers.feature
@@ -101,3 +101,34 @@
       | path     |
       | /batch/x |
       | /once/x  |
+
+  Scenario Outline: An answer whose status HTTP doesn't know is not passed on
+    Given a target "t1" that <flaw>
+    And an entry "e1"
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+    And the answer has no signature
+
+    Examples:
+      | flaw                                             |
+      | answers with the status 000                      |
+      | answers with the status 099                      |
+      | answers with the status 600                      |
+      | answers with the status 999                      |
+      | answers with the status 600 at length            |
+      | answers that it did not run, with the status 600 |
+
+  Scenario: An answer with an unknown status is not passed on by the entry that forwarded the request
+    Given a target "t1" that answers with the status 600
+    And an entry "e2"
+    And an entry "e1" without links to "t1"
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x"
+    Then the answer is 502
+    And the answer has no signature
+
+  Scenario: An answer with an unknown status ends no other request on its caller's connection
+    Given a target "t1" that answers the request p1 with the status 600
+    And an entry "e1"
+    When a caller of "e1" pipelines 4 requests
+    Then the statuses of these answers are "200,502,200,200"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -527,6 +527,11 @@
   },
 );
 
+Then("the statuses of these answers are {string}", (statuses: string) => {
+  const found = [...pipelinedText.matchAll(/HTTP\/1\.1 (\d+) /g)];
+  assert.equal(found.map(([, status]) => status).join(), statuses);
+});
+
 When(
   "{string} stops while a caller waits for {string}",
   async (entry: string, path: string) => {
--- a/packages/gateway/features/support/faulty_targets.ts
+++ b/packages/gateway/features/support/faulty_targets.ts
@@ -99,8 +99,31 @@
   });
 }
 
+/** Answers whose status line or status is no valid one, by the status. */
+function answerWithStatus(status: string, body = ""): Script {
+  return (received, socket) => {
+    const answer = formatResponse(200, signedHeaders(received), body);
+    socket.write(answer.replace("HTTP/1.1 200 ", `HTTP/1.1 ${status} `));
+  };
+}
+
 /** Scripts by the phrase that features use for them. */
 export const FAULTY_SCRIPTS: Record<string, Script> = {
+  "answers with the status 000": answerWithStatus("000"),
+  "answers with the status 099": answerWithStatus("099"),
+  "answers with the status 600": answerWithStatus("600"),
+  "answers with the status 999": answerWithStatus("999"),
+  "answers with the status 600 at length": answerWithStatus(
+    "600",
+    "x".repeat(LONG_ANSWER_BYTES),
+  ),
+  "answers that it did not run, with the status 600": (received, socket) => {
+    socket.write(formatResponse(600, refusalHeaders(received), ""));
+  },
+  "answers the request p1 with the status 600": (received, socket) =>
+    received.headers["test-request"] === "p1"
+      ? answerWithStatus("600")(received, socket)
+      : answerValidly(received, socket),
   "sends a late copy of each refusal before the next answer":
     answerWithLateCopies((received) =>
       formatResponse(503, refusalHeaders(received), "")
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -68,6 +68,8 @@
     namedRequest?: string;
   };
 
+/** Highest status of HTTP (RFC 9110, section 15). */
+const MAX_STATUS = 599;
 /** Statuses of answers that never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -224,6 +226,9 @@
         namedRequest: headersByName.get(dialect.requestIdHeader) ?? "",
       });
     }
+    if (status > MAX_STATUS) {
+      return this.#end({ kind: "lost", reason: "odd-status", corrupt: true });
+    }
     this.#notRun = this.#isNotRun(status, headersByName);
     const leaving = headersByName.get(dialect.leavingHeader);
     onHead({
