Count the time that a machine was suspended into the age of its state

Cause: the steady clock leaves out a suspension, so that an entry told others right after it that the store had confirmed its state a moment ago, and they put off asking the store themselves. Read in the code, not seen in a run. Change: what the time of day has counted and the steady clock has not is added to all ages; a step of the time of day makes them look older, at most. What is taken over from an entry also moves on the version from which the store is asked, so that a late question gets changes and not a gap.

--- a/packages/gateway/features/state_age.feature
+++ b/packages/gateway/features/state_age.feature
@@ -63,3 +63,11 @@
       | changed | effect                           |
       | 10      | knows all changes to version 30  |
       | 11      | still knows changes to version 10 |
+
+  Scenario: The state of an entry ages while its machine is suspended
+    Given an entry that knows all changes to version 10
+    And another entry tells that the store confirmed version 30 to it, with the last change at 10
+    When the steady clock stands still for 3000 ms
+    Then its state is 3200 ms old
+    When the time of day goes back by 3000 ms
+    Then its state is 3200 ms old
--- a/packages/gateway/features/state_age_steps.ts
+++ b/packages/gateway/features/state_age_steps.ts
@@ -154,10 +154,14 @@
 
 let rows: LatestRows;
 let confirmations: StateConfirmations;
+let timeOfDayMillis = 0;
 
 Given("an entry that knows all changes to version {int}", (version: number) => {
   rows = new LatestRows();
-  confirmations = new StateConfirmations(rows);
+  confirmations = new StateConfirmations(rows, {
+    steadyMillis: () => 1000,
+    timeOfDayMillis: () => timeOfDayMillis,
+  });
   rows.recordSnapshot([version, version]);
 });
 
@@ -184,3 +188,16 @@
     }
   },
 );
+
+When("the steady clock stands still for {int} ms", (millis: number) => {
+  timeOfDayMillis += millis;
+});
+
+When("the time of day goes back by {int} ms", (millis: number) => {
+  timeOfDayMillis -= millis;
+});
+
+Then("its state is {int} ms old", (millis: number) => {
+  assert.equal(confirmations.age("operator").millis(1000), millis);
+  assert.equal(confirmations.age("targets").millis(1000), millis);
+});
--- a/packages/gateway/src/state_confirmations.ts
+++ b/packages/gateway/src/state_confirmations.ts
@@ -9,6 +9,7 @@
   type FollowedTable,
   StateTable,
 } from "./state_store.ts";
+import { type Clocks, SuspendedTime } from "./suspended_time.ts";
 
 /** Age from which a confirmation is not told to others any more: each has newer ones. */
 const MAX_TOLD_AGE_MILLIS = 5000;
@@ -33,14 +34,24 @@
     [StateTable.targets]: new StateAge(),
   };
 
-  constructor(rows: LatestRows) {
+  readonly #suspended: SuspendedTime;
+
+  constructor(rows: LatestRows, clocks?: Clocks) {
     this.#rows = rows;
+    this.#suspended = new SuspendedTime(clocks);
   }
 
   age(table: FollowedTable): StateAge {
+    this.#addSuspendedTime();
     return this.#ages[table];
   }
 
+  #addSuspendedTime(): void {
+    const millis = this.#suspended.takeMillis();
+    if (millis === 0) return;
+    for (const table of FOLLOWED_TABLES) this.#ages[table].add(millis);
+  }
+
   /** Age of a table in whole milliseconds, for the log; undefined if it is not known. */
   loggedAgeMillis(table: FollowedTable, nowMillis: number): number | undefined {
     const millis = this.#ages[table].millis(nowMillis);
@@ -52,12 +63,14 @@
     table: FollowedTable,
     answer: { version: number; answeredAtMillis: number },
   ): void {
+    this.#addSuspendedTime();
     this.#rows.recordComplete(versionsOf(table, answer.version));
     this.#ages[table].confirm(answer.answeredAtMillis, STORE_SOURCE);
   }
 
   /** What the store confirmed to this entry, for the others. */
   own(nowMillis: number): Confirmations {
+    this.#addSuspendedTime();
     const confirmations: Confirmations = {};
     FOLLOWED_TABLES.forEach((table, i) => {
       const ageMillis = this.#ages[table].millisByStore(nowMillis);
@@ -83,6 +96,7 @@
     confirmations: Confirmations = {},
     options: { source: string; nowMillis: number },
   ): void {
+    this.#addSuspendedTime();
     FOLLOWED_TABLES.forEach((table, i) => {
       const confirmation = confirmations[table];
       if (confirmation === undefined) return;
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -147,6 +147,8 @@
       nowMillis,
     });
     const [operator, targets] = state.latestRows.completeTo;
+    this.#operatorFollower.advance(operator);
+    this.#targetsFollower.advance(targets);
     const isBehind = known.versions[0] > operator ||
       known.versions[1] > targets ||
       (known.revision ?? 0) > (state.config?.revision ?? 0) ||
--- a/packages/steering/src/state_age.ts
+++ b/packages/steering/src/state_age.ts
@@ -32,6 +32,12 @@
     this.#source = source;
   }
 
+  /** Adds time that the clock of the other calls leaves out. */
+  add(millis: number): void {
+    this.#confirmedAtMillis -= millis;
+    this.#storeConfirmedAtMillis -= millis;
+  }
+
   /** Time since the state was last known to be complete; Infinity if it never was. */
   millis(nowMillis: number): number {
     return nowMillis - this.#confirmedAtMillis;
