Count suspensions into logged ages too

Cause: the ages in log lines and gauges left out a suspension until the next check of the table, and a comment named a source that no row has. Change: they go through the same reading of the age as the checks.

--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -72,7 +72,7 @@
 
 /** Where rows came from; the fields are logged with what the rows change. */
 export type RowOrigin = {
-  /** `read`, `watch` or `check` of the store, or the address of another entry. */
+  /** `read` or `watch` of the store, or the address of another entry. */
   source?: string;
   /** The store's clock in the answer that brought the rows. */
   storeMillis?: number;
--- a/packages/gateway/src/state_confirmations.ts
+++ b/packages/gateway/src/state_confirmations.ts
@@ -54,7 +54,7 @@
 
   /** Age of a table in whole milliseconds, for the log; undefined if it is not known. */
   loggedAgeMillis(table: FollowedTable, nowMillis: number): number | undefined {
-    const millis = this.#ages[table].millis(nowMillis);
+    const millis = this.age(table).millis(nowMillis);
     return millis === Infinity ? undefined : Math.round(millis);
   }
 
--- a/packages/gateway/src/state_task.ts
+++ b/packages/gateway/src/state_task.ts
@@ -12,6 +12,7 @@
 } from "@bamboolane/steering/elect_entries";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
 import { planStatePace } from "@bamboolane/steering/plan_state_pace";
+import { formatStateVersion } from "@bamboolane/steering/state_version";
 import { fetchPeerState, PeerAnswerMemory } from "./fetch_peer_state.ts";
 import { StateAgeGuard } from "./state_age_guard.ts";
 import { type AnswerTimes, TableFollower } from "./table_follower.ts";
@@ -22,7 +23,6 @@
   type StateStore,
   StateTable,
 } from "./state_store.ts";
-import { formatStateVersion } from "@bamboolane/steering/state_version";
 
 /** Options of {@link StateTask}. */
 export interface StateTaskOptions {
