--- a/packages/cli/src/commands/trace/join_timeline.ts
+++ b/packages/cli/src/commands/trace/join_timeline.ts
@@ -29,6 +29,7 @@
   "store_lost",
   "store_regained",
   "history_gap",
+  "history_regained",
   "state_borrowed",
   "borrow_failed",
   "config_applied",
--- a/packages/gateway/features/body_steps.ts
+++ b/packages/gateway/features/body_steps.ts
@@ -10,15 +10,17 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MemoryBudget } from "@bamboolane/gateway/memory_budget";
 import { readBody } from "@bamboolane/gateway/read_request";
+import { describeLoad } from "./memory_limit_steps.ts";
 import {
   answersOf,
   connectTo,
+  raw,
   type RawCaller,
   send,
   statusOf,
 } from "./support/raw_caller.ts";
 import { pause, world } from "./support/scenario.ts";
-import { testConfig, until } from "./support/test_gateway.ts";
+import { testConfig, until, untilWithin } from "./support/test_gateway.ts";
 
 const BYTES_PER_KILOBYTE = 1000;
 /** A later revision than that of other steps. */
@@ -27,6 +29,8 @@
 let large: RawCaller[] = [];
 let small: RawCaller[] = [];
 let pipelining: RawCaller;
+/** Buffers in use before the bodies of the scenario. */
+let heldBeforeBytes = 0;
 
 Given("bodies of up to {int} kB are allowed", (kilobytes: number) => {
   const config = testConfig(REVISION);
@@ -113,7 +117,12 @@
     const reading = readBody(request as unknown as IncomingMessage, {
       limits: { ...limits, bodyBytes: kilobytes * BYTES_PER_KILOBYTE },
       memory: new MemoryBudget({
-        limits: { heapBytes: Infinity, bufferBytes: Infinity },
+        limits: {
+          heapBytes: Infinity,
+          bufferBytes: Infinity,
+          unreadBytes: 0,
+          totalBytes: 0,
+        },
       }).open(),
     });
     for (let i = 0; i < kilobytes; i += 100) {
@@ -165,3 +174,35 @@
   const known = pipelining.sentIds.filter((id) => ids().includes(id));
   assert.deepEqual(ids(), known);
 });
+
+When(
+  "{int} callers of {string} post a body of {int} kB to {string}, one after another, and stay idle",
+  async (count: number, entry: string, kilobytes: number, path: string) => {
+    heldBeforeBytes = bufferBytes();
+    raw.callers = [];
+    for (let i = 0; i < count; i++) {
+      const [caller] = post(1, { entry, path, kilobytes });
+      raw.callers.push(caller);
+      await until(() => answersOf(caller).length === 1, "it has an answer");
+      const [answer] = answersOf(caller);
+      assert.equal(statusOf(answer), 200, `${answer}; ${describeLoad(entry)}`);
+    }
+  },
+);
+
+Then(
+  "less than {int} kB of buffers are kept for them",
+  async (kilobytes: number) => {
+    const keptBytes = () => bufferBytes() - heldBeforeBytes;
+    // Buffers are freed in the background, and idle connections to targets closed later.
+    await untilWithin(
+      () => keptBytes() < kilobytes * BYTES_PER_KILOBYTE,
+      {
+        seconds: 1,
+        description: `${
+          Math.round(keptBytes() / BYTES_PER_KILOBYTE)
+        } kB were kept at first`,
+      },
+    );
+  },
+);
--- a/packages/gateway/features/ending_steps.ts
+++ b/packages/gateway/features/ending_steps.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
+import { CallerConnection } from "@bamboolane/gateway/caller_connection";
 import type { ScriptedTarget } from "@bamboolane/standins/scripted_target";
 import {
   announcesClose,
@@ -14,9 +15,11 @@
   type RawCaller,
   send,
   statusOf,
+  untilAnswered,
   untilClosed,
 } from "./support/raw_caller.ts";
 import { gatewayOf, pause, world } from "./support/scenario.ts";
+import { slowDownTurns, spin } from "./support/slow_turns.ts";
 import { until, untilWithin } from "./support/test_gateway.ts";
 
 const PIPELINE_INTERVAL_MILLIS = 50;
@@ -27,6 +30,11 @@
 /** Time from the end of the stall until kept connections are used again. */
 const KEPT_REQUEST_MILLIS = 100;
 const SLOW_READ_MILLIS = 300;
+const SLOW_REQUESTS_INTERVAL_MILLIS = 20;
+/** Time after which the answers in these scenarios were written. */
+const ANSWER_MILLIS = 150;
+/** Requests with it fill the receive buffer of a connection that is not read. */
+const LONG_HEADER = `Test-Padding: ${"x".repeat(2000)}\r\n`;
 
 /** Ids of all requests that a target received. */
 function receivedIds(): Set<string> {
@@ -38,12 +46,40 @@
   );
 }
 
-When("a caller of {string} sends two Host lines", async (entry: string) => {
+/** A caller sends something and waits for an answer. */
+async function call(
+  entry: string,
+  write: (caller: RawCaller) => void,
+): Promise<void> {
   const caller = connectTo(entry);
   raw.callers = [caller];
-  send(caller, "/read/x", { headers: "Host: other.example\r\n" });
+  write(caller);
   await until(() => answersOf(caller).length > 0, "the caller has an answer");
-});
+}
+
+When(
+  "a caller of {string} sends two Host lines",
+  (entry: string) =>
+    call(entry, (caller) => {
+      send(caller, "/read/x", { headers: "Host: other.example\r\n" });
+    }),
+);
+
+When(
+  "a caller of {string} sends no Host line",
+  (entry: string) =>
+    call(entry, ({ socket }) => {
+      socket.write("GET /read/x HTTP/1.1\r\nTest-Request: x\r\n\r\n");
+    }),
+);
+
+When(
+  "a caller of {string} sends an unknown expectation",
+  (entry: string) =>
+    call(entry, (caller) => {
+      send(caller, "/read/x", { headers: "Expect: the-unexpected\r\n" });
+    }),
+);
 
 Then("no entry found a target unreachable", () => {
   assert.doesNotMatch(world.system.logText, /target_unreachable/);
@@ -167,6 +203,42 @@
   },
 );
 
+When(
+  "a caller of {string} goes on sending requests behind one whose answer it reads after {int} ms, and {string} stops",
+  (entry: string, millis: number, stopping: string) =>
+    sendBehindAnswer(entry, {
+      readAfterMillis: millis,
+      untilRead: () => gatewayOf(stopping).stop(),
+    }),
+);
+
+When(
+  "a caller of {string} goes on sending requests behind one whose answer it reads after {int} ms, and {string} stops while it accepts {int} others in turns of {int} ms",
+  (
+    entry: string,
+    millis: number,
+    stopping: string,
+    count: number,
+    turnMillis: number,
+  ) =>
+    sendBehindAnswer(entry, {
+      readAfterMillis: millis,
+      untilRead: async () => {
+        const stopped = gatewayOf(stopping).stop();
+        await pause(ANSWER_MILLIS);
+        const others = Array.from({ length: count }, () => connectTo(entry));
+        const slowTurns = slowDownTurns(turnMillis);
+        await gatewayOf(entry).pacer.acceptWaiting({
+          maxMillis: count * turnMillis,
+          hasRoom: () => true,
+        });
+        slowTurns.stop();
+        for (const { socket } of others) socket.destroy();
+        await stopped;
+      },
+    }),
+);
+
 Then("all 400 kB of its answer arrive", () => {
   const [caller] = raw.callers;
   const body = caller.text.slice(caller.text.indexOf("\r\n\r\n") + 4);
@@ -174,6 +246,31 @@
   assert.equal(dechunked.length, 400_000);
 });
 
+/** A caller goes on sending requests behind one whose answer it reads late. */
+async function sendBehindAnswer(
+  entry: string,
+  { readAfterMillis, untilRead }: {
+    readAfterMillis: number;
+    /** What the entry does meanwhile. */
+    untilRead: () => Promise<void>;
+  },
+): Promise<void> {
+  const caller = connectTo(entry);
+  raw.callers = [caller];
+  send(caller, "/read/x");
+  await pause(50);
+  caller.socket.pause();
+  const isOver = untilRead();
+  const timer = setInterval(() => {
+    if (!caller.closed) send(caller, "/read/x", { headers: LONG_HEADER });
+  }, SLOW_REQUESTS_INTERVAL_MILLIS);
+  await pause(readAfterMillis);
+  caller.socket.resume();
+  await untilClosed(caller);
+  clearInterval(timer);
+  await isOver;
+}
+
 /** Callers connect in a stall, and turns of the event loop take some time after it. */
 async function connectInStall(
   entry: string,
@@ -199,32 +296,6 @@
   slowTurns.stop();
 }
 
-/** Makes turns of the event loop take longer. */
-function slowDownTurns(turnMillis: number): { stop: () => void } {
-  let isOver = turnMillis === 0;
-  const slowDown = () => {
-    if (isOver) return;
-    spin(turnMillis);
-    setImmediate(slowDown);
-  };
-  slowDown();
-  return { stop: () => isOver = true };
-}
-
-async function untilAnswered(
-  callers: readonly RawCaller[],
-  count: number,
-): Promise<void> {
-  const isAnswered = () =>
-    callers.every((caller) => answersOf(caller).length === count);
-  await until(isAnswered, `${count} answers for each caller`);
-}
-
-function spin(millis: number): void {
-  const endMillis = performance.now() + millis;
-  while (performance.now() < endMillis);
-}
-
 When(
   "{int} callers of {string} connect and send a request in a stall at whose end its listener closes",
   (count: number, entry: string) =>
@@ -237,6 +308,87 @@
     connectInStall(entry, { count, turnMillis }),
 );
 
+/** Callers send to an entry that stops before it has read anything. */
+async function sendUnread(
+  entry: string,
+  { count, stopping, connectAfterMillis = 0, sendAll }: {
+    count: number;
+    stopping: string;
+    /** Time from the start of the stop; 0 if they connect before it. */
+    connectAfterMillis?: number;
+    sendAll: () => void;
+  },
+): Promise<void> {
+  const { pacer } = gatewayOf(entry);
+  if (connectAfterMillis > 0) {
+    gatewayOf(stopping).stop();
+    await pause(connectAfterMillis);
+  }
+  raw.callers = Array.from({ length: count }, () => connectTo(entry));
+  await pause(KEPT_REQUEST_MILLIS);
+  const { resumeInput } = CallerConnection.prototype;
+  // Others are read first, or accepted, until the stop is over.
+  CallerConnection.prototype.resumeInput = () => {};
+  try {
+    await pacer.acceptWaiting({ maxMillis: 0, hasRoom: () => false });
+    sendAll();
+    await gatewayOf(stopping).stop();
+  } finally {
+    CallerConnection.prototype.resumeInput = resumeInput;
+  }
+  await Promise.all(raw.callers.map(untilClosed));
+}
+
+When(
+  "{int} callers of {string} send a request each while it reads nothing, and {string} stops",
+  (count: number, entry: string, stopping: string) =>
+    sendUnread(entry, {
+      count,
+      stopping,
+      sendAll: () => {
+        for (const caller of raw.callers) send(caller, "/read/x");
+      },
+    }),
+);
+
+When(
+  "{int} callers of {string} go on sending while it reads nothing, and read the answers after {int} ms, and {string} stops",
+  { timeout: 15_000 },
+  async (count: number, entry: string, millis: number, stopping: string) => {
+    let timer: NodeJS.Timeout | undefined;
+    const sendAll = () => {
+      for (const caller of raw.callers) {
+        if (!caller.closed) send(caller, "/read/x");
+      }
+    };
+    await sendUnread(entry, {
+      count,
+      stopping,
+      // Before the limit for a head is over, the stop refuses them.
+      connectAfterMillis: LAME_DUCK_MILLIS - 1000,
+      sendAll: () => {
+        for (const { socket } of raw.callers) socket.pause();
+        timer = setInterval(sendAll, SLOW_REQUESTS_INTERVAL_MILLIS);
+        setTimeout(() => {
+          for (const { socket } of raw.callers) socket.resume();
+        }, millis);
+      },
+    });
+    clearInterval(timer);
+  },
+);
+
+When(
+  "{int} callers of {string} send a part of a head each, and {string} stops",
+  async (count: number, entry: string, stopping: string) => {
+    raw.callers = Array.from({ length: count }, () => connectTo(entry));
+    for (const { socket } of raw.callers) socket.write("GET /read/x HTTP/1.1");
+    await pause(KEPT_REQUEST_MILLIS);
+    await gatewayOf(stopping).stop();
+    await Promise.all(raw.callers.map(untilClosed));
+  },
+);
+
 When(
   "{int} callers of {string} send a request each, and another one while it accepts {int} before its listener closes",
   async (keptCount: number, entry: string, count: number) => {
--- a/packages/gateway/features/fault_steps.ts
+++ b/packages/gateway/features/fault_steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
+import process from "node:process";
 import { Then, When } from "@cucumber/cucumber";
 import { createNoopLogger } from "@bamboolane/logger/create_logger";
 import { createLogger, type EventLog } from "@bamboolane/logger/create_logger";
@@ -223,3 +224,25 @@
     assert.equal((await call(entry, path)).status, status);
   },
 );
+
+When(
+  "the resident memory can't be read for {int} ms, for lack of a descriptor",
+  async (millis: number) => {
+    const { rss } = process.memoryUsage;
+    process.memoryUsage.rss = () => {
+      throw new Error("EMFILE: too many open files, uv_resident_set_memory");
+    };
+    const faults: Error[] = [];
+    const onFault = (error: Error) => faults.push(error);
+    process.on("uncaughtException", onFault);
+    await pause(millis);
+    process.off("uncaughtException", onFault);
+    process.memoryUsage.rss = rss;
+    assert.deepEqual(faults, []);
+  },
+);
+
+Then("the log says once that the resident memory is unknown", () => {
+  const lines = world.system.logText.match(/event=resident_memory_unknown/g);
+  assert.equal(lines?.length, 1);
+});
--- a/packages/gateway/features/faults.feature
+++ b/packages/gateway/features/faults.feature
@@ -60,3 +60,11 @@
       | a row that is null          |
       | limits without a time       |
       | a target without an address |
+
+  Scenario: A check of the memory that lacks a descriptor ends nothing
+    Given a target "t1" that answers
+    And an entry "e1"
+    When the resident memory can't be read for 800 ms, for lack of a descriptor
+    Then the log says once that the resident memory is unknown
+    When a caller of "e1" gets "/read/x" with 900 ms left
+    Then the answer is 200 with the target's body and signature
--- a/packages/gateway/features/forwarded_answers.feature
+++ b/packages/gateway/features/forwarded_answers.feature
@@ -31,3 +31,12 @@
     When a caller of "e1" posts "/write/x" until it is served, 6 requests with 9 tries each
     Then each of these requests was served
     And none ran twice, or was refused while it ran
+
+  Scenario: A forwarded request that an entry stops before it reads is refused
+    Given a target "t1" that answers
+    And an entry "e2" with a grace period of 3 s
+    And an entry "e1" without links to "t1"
+    And "e1" knows within 5 s that "e2" serves
+    When a caller of "e1" posts "/write/x" until it is served, 1 request with 9 tries each
+    And another caller of "e1" posts "/batch/x", and "e2" stops before it reads that
+    Then that caller got a 503 with a Retry-After, and its request reached no target
--- a/packages/gateway/features/gateway.feature
+++ b/packages/gateway/features/gateway.feature
@@ -96,6 +96,18 @@
     Then each caller got the status 400
     And no entry found a target unreachable
 
+  Scenario: A request without a Host line is rejected
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends no Host line
+    Then each caller got the status 400
+
+  Scenario: A request with an unknown expectation is served
+    Given a target "t1" that answers
+    And an entry "e1"
+    When a caller of "e1" sends an unknown expectation
+    Then each caller got the status 200
+
   Scenario: A surplus answer on a connection is never forwarded
     Given a target "t1" that answers twice
     And an entry "e1"
--- a/packages/gateway/features/gateway_steps.ts
+++ b/packages/gateway/features/gateway_steps.ts
@@ -110,6 +110,11 @@
     const body = "x".repeat(200_000);
     socket.write(formatResponse(200, signedHeaders(received), body));
   },
+  "answers with 40000 kB": (received, socket) => {
+    socket.write(longAnswerHead(received, 40_000_000));
+    const part = Buffer.alloc(1_000_000, "x");
+    for (let i = 0; i < 40; i++) socket.write(part);
+  },
   "answers slowly at first": async (received, socket) => {
     await pause(received.path.endsWith("/0") ? 150 : 5);
     answerValidly(received, socket);
@@ -170,20 +175,20 @@
   );
 }
 
+function longAnswerHead(received: ReceivedRequest, bytes: number): string {
+  const lines = Object.entries(signedHeaders(received)).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `HTTP/1.1 200 X\r\n${lines.join("")}Content-Length: ${bytes}\r\n\r\n`;
+}
+
 async function sendLongAnswer(
   received: ReceivedRequest,
   socket: Socket,
   options: { bytes: number } = { bytes: LONG_ANSWER_BYTES },
 ): Promise<void> {
   lastPartSent = false;
-  const lines = Object.entries(signedHeaders(received)).map(([name, value]) =>
-    `${name}: ${value}\r\n`
-  );
-  socket.write(
-    `HTTP/1.1 200 X\r\n${
-      lines.join("")
-    }Content-Length: ${LONG_ANSWER_BYTES}\r\n\r\n`,
-  );
+  socket.write(longAnswerHead(received, LONG_ANSWER_BYTES));
   for (let at = 0; at < options.bytes; at += PART_BYTES) {
     const end = Math.min(options.bytes, at + PART_BYTES);
     if (at + PART_BYTES >= LONG_ANSWER_BYTES) {
@@ -281,6 +286,16 @@
     world.system.addTarget(id, SCRIPTS.answers, { dataCentre }),
 );
 
+Given(
+  "{int} targets in data centres {string} and {string} that answer",
+  async (count: number, first: string, second: string) => {
+    for (let i = 0; i < count; i++) {
+      const dataCentre = i % 2 === 0 ? first : second;
+      await world.system.addTarget(`t${i}`, SCRIPTS.answers, { dataCentre });
+    }
+  },
+);
+
 Given("a target {string} that crashes", async (id: string) => {
   await world.system.addTarget(id, async (_received, socket) => {
     crashes++;
--- a/packages/gateway/features/held_memory_steps.ts
+++ b/packages/gateway/features/held_memory_steps.ts
@@ -167,7 +167,7 @@
 async function openMetrics(log: EventLog): Promise<void> {
   const metrics = await createMetrics(address, {
     onError: (error) => assert.fail(error),
-    createServer: (answer) => server = createMetricsServer(log, answer),
+    createServer: (answer) => server = createMetricsServer({ log }, answer),
   });
   for (let i = 0; i < 2000; i++) {
     metrics.count("bamboolane_requests", 1, { service: `service-${i}` });
--- a/packages/gateway/features/limit_steps.ts
+++ b/packages/gateway/features/limit_steps.ts
@@ -16,6 +16,8 @@
 
 const limitedTargets = new Map<string, LimitedTarget>();
 const CALLER_PAUSE_MILLIS = 5;
+/** Lines of the log that a failure shows. */
+const SHOWN_LINES = 20;
 const WINDOW_MILLIS = 4000;
 /** Time in which a target must get its first request. */
 const MAX_ARRIVAL_MILLIS = 20_000;
@@ -211,5 +213,14 @@
 
 Then("all callers were served", () => {
   const refused = world.replies.filter(({ status }) => status !== 200);
-  assert.equal(refused.length, 0, `of ${world.replies.length}`);
+  const lines = world.system.logText.split("\n").filter((line) =>
+    refused.some(({ headers }) => line.includes(`=${headers["sent-id"]} `))
+  );
+  assert.equal(
+    refused.length,
+    0,
+    `${refused.length} of ${world.replies.length}: ${
+      lines.slice(0, SHOWN_LINES).join("\n")
+    }`,
+  );
 });
--- a/packages/gateway/features/memory_limit_steps.ts
+++ b/packages/gateway/features/memory_limit_steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
+import process from "node:process";
 import { PassThrough } from "node:stream";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { MemoryBudget } from "@bamboolane/gateway/memory_budget";
@@ -22,6 +23,8 @@
 /** Longer than what a connection of the system itself holds. */
 const ANSWER_TIMEOUT_MILLIS = 15_000;
 const POLL_MILLIS = 20;
+/** Lines of the log that a failure shows. */
+const LAST_LINES = 10;
 /** A later revision than that of other steps. */
 const REVISION = 20;
 const HALF_BODY = "01234";
@@ -203,7 +206,8 @@
   assert.deepEqual(ids, [raw.callers[0].sentIds[0]]);
 });
 
-function isRefusal(answer: string): boolean {
+/** True for a 503 that names a time for the next try. */
+export function isRefusal(answer: string): boolean {
   return statusOf(answer) === 503 && /^retry-after: /im.test(answer);
 }
 
@@ -243,6 +247,13 @@
   },
 );
 
+Then("each refusal names the lack of a descriptor", () => {
+  const refusals = raw.callers.flatMap(answersOf).filter(isRefusal);
+  for (const refusal of refusals) {
+    assert.ok(refusal.endsWith("\r\n\r\nno-descriptor\n"), refusal);
+  }
+});
+
 /** Waits until each caller's last answer is as wanted, or its connection closed. */
 async function untilAnswered(
   isWanted: (answer: string) => boolean,
@@ -312,13 +323,61 @@
   "within {int} ms a caller of {string} that gets {string} gets {int}",
   async (millis: number, entry: string, path: string, status: number) => {
     const endMillis = performance.now() + millis;
-    while ((await call(entry, path)).status !== status) {
-      assert.ok(performance.now() < endMillis, "the caller is not served");
+    const results = new Map<string, number>();
+    while (true) {
+      const reply = await call(entry, path);
+      if (reply.status === status) return;
+      const result = `${reply.status} ${reply.body.trim()}`;
+      results.set(result, (results.get(result) ?? 0) + 1);
+      assert.ok(
+        performance.now() < endMillis,
+        `the caller is not served, but got ${
+          JSON.stringify(Object.fromEntries(results))
+        }; ${describeLoad(entry)}`,
+      );
       await pause(POLL_MILLIS);
     }
   },
 );
 
+/** What an entry holds, and what its connections and requests are waiting for. */
+export function describeLoad(entry: string): string {
+  const { memory, state } = gatewayOf(entry);
+  const { held, limits, heldLoad, load, unreadBytes, refusalCount } = memory;
+  const closedCount = raw.callers.filter(({ closed }) => closed).length;
+  const lines = world.system.logText.trimEnd().split("\n");
+  const targets = [...state.targets.all()].map((target) => ({
+    id: target.record.id,
+    inFlight: target.ownInFlight,
+    slots: target.record.slots,
+    isUnreachable: target.isUnreachable,
+  }));
+  return JSON.stringify({
+    held,
+    limits,
+    heldLoad,
+    load,
+    unreadBytes,
+    residentBytes: process.memoryUsage.rss(),
+    refusalCount,
+    callers: { open: raw.callers.length - closedCount, closed: closedCount },
+    targets,
+    events: countEvents(lines),
+    lastLines: lines.slice(-LAST_LINES),
+  });
+}
+
+/** Number of log lines of each event, outcome and cause. */
+function countEvents(lines: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const line of lines) {
+    const kind = [...line.matchAll(/\b(?:event|outcome|reason|cause)=(\S+)/g)]
+      .map((match) => match[1]).join(" ");
+    counts[kind] = (counts[kind] ?? 0) + 1;
+  }
+  return counts;
+}
+
 Then("no memory is held for callers of {string}", async (entry: string) => {
   for (const { socket } of raw.callers) socket.destroy();
   const { memory } = gatewayOf(entry);
@@ -333,7 +392,12 @@
   "a body of {int} kB in pieces of {int} byte takes less than {int} kB once it is read",
   async (kilobytes: number, pieceBytes: number, maxKilobytes: number) => {
     const memory = new MemoryBudget({
-      limits: { heapBytes: 0, bufferBytes: maxKilobytes * BYTES_PER_KILOBYTE },
+      limits: {
+        heapBytes: 0,
+        bufferBytes: maxKilobytes * BYTES_PER_KILOBYTE,
+        unreadBytes: 0,
+        totalBytes: 0,
+      },
     });
     const request = Object.assign(new PassThrough(), {
       headers: { "transfer-encoding": "chunked" },
--- a/packages/gateway/features/start.feature
+++ b/packages/gateway/features/start.feature
@@ -16,6 +16,18 @@
       | state     |
       | peers     |
 
+  Scenario Outline: A start waits for an address that is a name no one can resolve yet
+    Given a store with a route of each kind
+    And an entry "e1" whose address for <listener> names an unknown host
+    Then the log says that the start waits for "<listener>", and why
+    And a stop of "e1" is over within 1200 ms
+
+    Examples:
+      | listener  |
+      | callers   |
+      | directory |
+      | peers     |
+
   Scenario: An entry that waits for an address stops within its grace period
     Given a store with a route of each kind
     And an entry "e1" whose address for callers another program uses
--- a/packages/gateway/features/start_steps.ts
+++ b/packages/gateway/features/start_steps.ts
@@ -21,6 +21,9 @@
   untilWithin,
 } from "./support/test_gateway.ts";
 
+/** A name that no resolver is asked for: its first label is too long. */
+const UNKNOWN_HOST = `${"x".repeat(64)}.invalid`;
+
 /** Sockets of another program, and the address that they use. */
 let occupied: { address: string; release: () => void } | undefined;
 let logText = "";
@@ -60,6 +63,27 @@
     }),
 );
 
+Given(
+  /^an entry "(\w+)" whose address for (\w+) names an unknown host$/,
+  (id: string, listener: keyof GatewaySettings["listen"]) =>
+    world.system.addEntry(id, {
+      beforeStart: (listen) => {
+        listen[listener] = `${UNKNOWN_HOST}:7620`;
+        return Promise.resolve();
+      },
+    }),
+);
+
+Then(
+  "the log says that the start waits for {string}, and why",
+  async (listener: string) => {
+    const line = new RegExp(
+      `event=listen_waiting .*listener=${listener} .*getaddrinfo.*${UNKNOWN_HOST}`,
+    );
+    await until(() => line.test(world.system.logText), "the log says so");
+  },
+);
+
 Then("the log names that address as one that the start waits for", async () => {
   const line = new RegExp(
     `event=listen_waiting .* address=${occupied?.address} `,
--- a/packages/gateway/features/stop.feature
+++ b/packages/gateway/features/stop.feature
@@ -34,6 +34,18 @@
     When a caller of "e1" goes on sending requests behind one that it reads slowly, and "e1" stops
     Then all 400 kB of its answer arrive
 
+  Scenario: A caller that goes on sending gets the answer before the announced close, read late
+    Given a target "t1" that answers with 400 kB after 100 ms
+    And an entry "e1" with a grace period of 6 s
+    When a caller of "e1" goes on sending requests behind one whose answer it reads after 1500 ms, and "e1" stops
+    Then all 400 kB of its answer arrive
+
+  Scenario: A caller that goes on sending is read while others are accepted, once its connection ends
+    Given a target "t1" that answers with 400 kB after 100 ms
+    And an entry "e1" with a grace period of 6 s
+    When a caller of "e1" goes on sending requests behind one whose answer it reads after 2500 ms, and "e1" stops while it accepts 260 others in turns of 10 ms
+    Then all 400 kB of its answer arrive
+
   Scenario: Connections that wait when the listener closes are accepted and answered
     Given a target "t1" that answers
     And an entry "e1" with a grace period of 2 s
@@ -46,6 +58,30 @@
     When 200 callers of "e1" connect and send a request in a stall at whose end its listener closes, and turns of the event loop take 2 ms
     Then each caller got an answer
 
+  Scenario: Connections that wait longer than a stop accepts first are accepted after that
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 4 s
+    When 100 callers of "e1" connect and send a request in a stall at whose end its listener closes, and turns of the event loop take 10 ms
+    Then each caller got an answer
+
+  Scenario: Requests that a stop has no time to read are refused
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 3 s
+    When 20 callers of "e1" send a request each while it reads nothing, and "e1" stops
+    Then each caller got the status 503
+
+  Scenario: Callers that go on sending and read late are refused by a stop that had no time to read
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 6 s
+    When 20 callers of "e1" go on sending while it reads nothing, and read the answers after 3300 ms, and "e1" stops
+    Then each caller got the status 503
+
+  Scenario: Requests of whose heads a stop has read a part only are refused
+    Given a target "t1" that answers
+    And an entry "e1" with a grace period of 2 s
+    When 3 callers of "e1" send a part of a head each, and "e1" stops
+    Then each caller got the status 503
+
   Scenario: A request on a kept connection is answered while others are accepted
     Given a target "t1" that answers
     And an entry "e1" with a grace period of 8 s
--- a/packages/gateway/features/support/raw_caller.ts
+++ b/packages/gateway/features/support/raw_caller.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
 import { pause, world } from "./scenario.ts";
+import { until } from "./test_gateway.ts";
 
 /** Time in which a caller must see the end of its connection. */
 const CLOSE_TIMEOUT_MILLIS = 4000;
@@ -68,6 +69,16 @@
   return caller.text.split(/(?=HTTP\/1\.1 \d)/).filter((text) => text !== "");
 }
 
+/** Waits until each caller has read `count` answers. */
+export async function untilAnswered(
+  callers: readonly RawCaller[],
+  count: number,
+): Promise<void> {
+  const isAnswered = () =>
+    callers.every((caller) => answersOf(caller).length === count);
+  await until(isAnswered, `${count} answers for each caller`);
+}
+
 /** Status of one of the {@link answersOf}. */
 export function statusOf(answer: string): number {
   return Number(answer.slice(9, 12));
--- a/packages/gateway/features/target_connection_steps.ts
+++ b/packages/gateway/features/target_connection_steps.ts
@@ -3,7 +3,10 @@
  */
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { AnswerPacer } from "@bamboolane/gateway/answer_pacer";
 import { DescriptorBudget } from "@bamboolane/gateway/descriptor_budget";
+import { MemoryBudget } from "@bamboolane/gateway/memory_budget";
+import { planMemory } from "@bamboolane/gateway/memory_monitor";
 import {
   type TargetConnection,
   TargetConnections,
@@ -13,6 +16,9 @@
 const ADDRESS = "127.0.0.1:9";
 const OPTIONS = {
   descriptors: new DescriptorBudget(Infinity),
+  pacer: new AnswerPacer({
+    memory: new MemoryBudget({ limits: planMemory() }),
+  }),
   onConnected: () => {},
 };
 
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -145,7 +145,7 @@
             : AttemptResult.answered,
           health,
         );
-        if (end.kind === "answered" && end.answer.status < 300) {
+        if ((end.kind === "streamed" ? end : end.answer).status < 300) {
           this.#recordWorkTime(request, attempt);
         }
         return;
--- a/packages/gateway/src/bounded_server.ts
+++ b/packages/gateway/src/bounded_server.ts
@@ -13,6 +13,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { EventLog } from "@bamboolane/logger/create_logger";
+import type { InputPacer } from "./input_pacer.ts";
 
 /** Options of {@link createBoundedServer}. */
 export interface BoundedServerOptions {
@@ -22,6 +23,8 @@
   /** Maximum number of answers that a connection waits for; 16 unless given. */
   maxOpenAnswers?: number;
   log: EventLog;
+  /** Shared by all servers of the process; callers pause while its clients wait. */
+  pacer?: Pick<InputPacer, "recordBrief">;
 }
 
 /** Maximum size of a request's head; Node.js answers 431 beyond it. */
@@ -121,9 +124,13 @@
     requestTimeout: TIMEOUT_MILLIS,
     connectionsCheckingInterval: CHECK_INTERVAL_MILLIS,
   }, (request, response) => {
+    options.pacer?.recordBrief();
     connections.answer(request, response, answer);
   });
   server.setTimeout(TIMEOUT_MILLIS);
-  server.on("connection", (socket: Socket) => connections.add(socket));
+  server.on("connection", (socket: Socket) => {
+    options.pacer?.recordBrief();
+    connections.add(socket);
+  });
   return server;
 }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -9,6 +9,7 @@
 import type { DescriptorBudget } from "./descriptor_budget.ts";
 import type { MemoryAmount, MemoryBudget } from "./memory_budget.ts";
 import { CONNECTION_COST, partialHeadCost } from "./memory_costs.ts";
+import { MAX_GROWN_LOAD, RECEIVE_WINDOW_BYTES } from "./receive_window.ts";
 
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
@@ -35,7 +36,11 @@
 const SHEDDING_LOAD = 0.8;
 /** Load from which new connections are closed at once, since refusals need memory too. */
 const MAX_LOAD = 1.25;
-/** How long a caller may take at least, unless the limit is exceeded. */
+/**
+ * How long a caller may take at least, unless the limit is exceeded. One that has an
+ * answer to read may take it unless what is held exceeds the limit: the rest of what was
+ * not read is not its own.
+ */
 const MIN_WAIT_MILLIS = 2000;
 /** Share of the waiting connections that one check closes. */
 const SHED_SHARE = 1 / 4;
@@ -46,8 +51,6 @@
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #timer: NodeJS.Timeout;
   #checkedAtMillis = performance.now();
-  /** Memory of the heads and trailers that are not complete. */
-  #partialHeads: MemoryAmount = { heapBytes: 0, bufferBytes: 0 };
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -78,8 +81,11 @@
   add(socket: Socket): CallerConnection | undefined {
     const { memory, descriptors } = this.#options;
     const share = memory.open();
-    const hasMemory = share.reserve(CONNECTION_COST);
-    if (descriptors.isFull || !hasMemory && memory.load > MAX_LOAD) {
+    // Nothing tells yet what was sent on it.
+    memory.unreadBytes += RECEIVE_WINDOW_BYTES;
+    const hasMemory = memory.load <= 1 && share.reserve(CONNECTION_COST);
+    if (descriptors.isFull || !hasMemory && memory.heldLoad > MAX_LOAD) {
+      memory.unreadBytes -= RECEIVE_WINDOW_BYTES;
       share.close();
       memory.refusalCount++;
       socket.destroy();
@@ -90,19 +96,70 @@
       memory: share,
       lack: findLack(hasMemory, descriptors),
     });
+    connection.countedUnreadBytes = RECEIVE_WINDOW_BYTES;
     descriptors.callerCount++;
     this.#connections.set(socket, connection);
     socket.once("close", () => {
       descriptors.callerCount--;
       this.#connections.delete(socket);
+      this.#release(connection);
     });
     return connection;
   }
 
+  /** Counts nothing more of a connection. */
+  #release(connection: CallerConnection): void {
+    this.#addPartialHead(connection, { heapBytes: 0, bufferBytes: 0 });
+    this.#countUnread(connection, 0);
+  }
+
+  /** Counts what was read; refuses a head or trailers beyond the limit. */
+  admitRead(socket: Socket, connection: CallerConnection): void {
+    const grownBytes = connection.window.recordRead(socket.bytesRead);
+    if (grownBytes > 0) {
+      this.#countUnread(connection, connection.countedUnreadBytes + grownBytes);
+    }
+    // While it idles its caller may fill the window at any time.
+    if (
+      connection.window.isGrown &&
+      this.#options.memory.unreadLoad >= MAX_GROWN_LOAD
+    ) connection.announceClose();
+    if (this.#countPartialHead(connection)) return;
+    // The parser that called goes on with what it has read.
+    queueMicrotask(() => {
+      const { unparsedBytes } = connection;
+      if (unparsedBytes === 0 || socket.destroyed) return;
+      const entry = { socket, connection, waitedMillis: 0, unparsedBytes };
+      this.#shed(entry, "no-memory");
+    });
+  }
+
+  /** Returns false if the limit is exceeded with it. */
+  #countPartialHead(connection: CallerConnection): boolean {
+    const { memory } = this.#options;
+    const addedBytes = this.#addPartialHead(
+      connection,
+      partialHeadCost(connection),
+    );
+    return addedBytes <= 0 || memory.load <= 1;
+  }
+
+  /** Counts the part of a head in place of what counted before; returns the added heap. */
+  #addPartialHead(connection: CallerConnection, part: MemoryAmount): number {
+    const { countedPart } = connection;
+    const added: MemoryAmount = {
+      heapBytes: part.heapBytes - countedPart.heapBytes,
+      bufferBytes: part.bufferBytes - countedPart.bufferBytes,
+    };
+    connection.countedPart = part;
+    this.#options.memory.take(added);
+    return added.heapBytes;
+  }
+
   /** Stops the checks; open connections stay. */
   stop(): void {
     clearInterval(this.#timer);
-    this.#countPartialHeads(0);
+    for (const connection of this.values()) this.#release(connection);
   }
 
   #check(): void {
@@ -113,10 +170,10 @@
       nowMillis - this.#checkedAtMillis > STALL_CHECKS * CHECK_INTERVAL_MILLIS;
     this.#checkedAtMillis = nowMillis;
     const maxUnparsedBytes = maxHeadBytes();
-    let partialBytes = 0;
     const waiting: WaitingConnection[] = [];
     for (const [socket, connection] of this.#connections) {
       const { unparsedBytes } = connection;
+      this.#countUnread(connection, connection.maxUnreadBytes);
       // What callers sent meanwhile has not been read yet.
       if (wasStalled) connection.recordProgress(nowMillis);
       if (unparsedBytes > maxUnparsedBytes) {
@@ -124,13 +181,13 @@
         this.#shed(entry, "header too large");
         continue;
       }
-      partialBytes += unparsedBytes;
+      this.#countPartialHead(connection);
       const waitedMillis = connection.waitedForCallerMillis(nowMillis);
       if (waitedMillis > 0 || unparsedBytes > 0) {
         waiting.push({ socket, connection, waitedMillis, unparsedBytes });
       }
     }
-    this.#countPartialHeads(partialBytes);
+    if (memory.unreadLoad > 1) this.#closeGrown();
     const maxWaitMillis = idleTimeoutMillis();
     const lacksDescriptors = !descriptors.hasRoomForCaller;
     const isScarce = memory.load >= SHEDDING_LOAD || memory.suspended ||
@@ -148,38 +205,46 @@
       }
       return;
     }
-    const isOver = memory.load > 1 || memory.suspended;
+    const isHeldOver = memory.heldLoad > 1 || memory.suspended;
+    const isOver = isHeldOver || memory.load > 1;
     waiting.sort((a, b) =>
       isOver
         ? b.unparsedBytes - a.unparsedBytes || b.waitedMillis - a.waitedMillis
         : b.waitedMillis - a.waitedMillis
     );
     const maxCount = Math.ceil(waiting.length * SHED_SHARE);
-    for (const entry of waiting.slice(0, maxCount)) {
+    const overdue = waiting.filter(({ connection, waitedMillis }) =>
+      waitedMillis >= MIN_WAIT_MILLIS ||
+      (connection.hasUnsentAnswer ? isHeldOver : isOver)
+    );
+    for (const entry of overdue.slice(0, maxCount)) {
       const lacksMemory = memory.load >= SHEDDING_LOAD || memory.suspended;
       if (!lacksMemory && !lacksDescriptors) return;
       if (!lacksMemory && entry.connection.hasUnsentAnswer) continue;
-      if (entry.waitedMillis >= MIN_WAIT_MILLIS || isOver) {
-        this.#shed(entry, lacksMemory ? "no-memory" : "no-descriptor");
-      }
+      this.#shed(entry, lacksMemory ? "no-memory" : "no-descriptor");
     }
   }
 
-  #countPartialHeads(bytes: number): void {
-    const { memory } = this.#options;
-    memory.release(this.#partialHeads);
-    this.#partialHeads = partialHeadCost(bytes);
-    memory.take(this.#partialHeads);
+  /** Closes idle connections with the largest windows: their room is needed. */
+  #closeGrown(): void {
+    const idle = [...this.values()]
+      .filter(({ window, isIdle }) => window.isGrown && isIdle)
+      .sort((a, b) => b.window.bytes - a.window.bytes);
+    const closed = idle.slice(0, Math.ceil(idle.length * SHED_SHARE));
+    if (closed.length === 0) return;
+    for (const connection of closed) connection.end();
+    const { memory, log } = this.#options;
+    log.warn("idle_callers_closed", {
+      closed: closed.length,
+      idle: idle.length,
+      unreadLoad: Math.round(memory.unreadLoad * 100) / 100,
+    });
   }
 
-  /** Returns the memory of a head before the next check counts what is left. */
-  #releasePartialHead(bytes: number): void {
-    const cost = partialHeadCost(bytes);
-    this.#options.memory.release(cost);
-    this.#partialHeads = {
-      heapBytes: this.#partialHeads.heapBytes - cost.heapBytes,
-      bufferBytes: this.#partialHeads.bufferBytes - cost.bufferBytes,
-    };
+  /** Counts what its caller may have sent and was not read yet. */
+  #countUnread(connection: CallerConnection, bytes: number): void {
+    this.#options.memory.unreadBytes += bytes - connection.countedUnreadBytes;
+    connection.countedUnreadBytes = bytes;
   }
 
   #shed(
@@ -197,7 +262,8 @@
     });
     if (connection.hasUnsentAnswer) connection.reset();
     else onShed(socket, cause);
-    if (cause === "no-memory") this.#releasePartialHead(unparsedBytes);
+    // Returns the memory of a head before the next check counts what is left.
+    this.#countPartialHead(connection);
   }
 }
 
--- a/packages/gateway/src/descriptor_budget.ts
+++ b/packages/gateway/src/descriptor_budget.ts
@@ -16,8 +16,10 @@
  * are read: the requests on those between are refused, and end soon.
  */
 const REFUSALS_SHARE = 0.66;
-/** Share of the sockets for the store, other entries and look-ups. */
+/** Share of the sockets for the store, other entries, look-ups and files. */
 const RESERVED_SHARE = 1 / 32;
+/** Share of the sockets that is left to connections whose requests are refused. */
+const REFUSED_SHARE = 1 / 16;
 
 /** Sockets of one process. */
 export class DescriptorBudget {
@@ -39,23 +41,33 @@
 
   /** True if connections whose requests are refused may be accepted first. */
   get hasRoomForRefusals(): boolean {
-    return this.callerCount < this.#maxSockets * REFUSALS_SHARE;
+    return this.callerCount < this.#maxSockets * REFUSALS_SHARE &&
+      this.#openCount <
+        this.#maxSockets * (1 - RESERVED_SHARE - REFUSED_SHARE / 2);
   }
 
   /** True if there is no socket left for a caller, not even to refuse its request. */
   get isFull(): boolean {
-    return this.callerCount >= this.#maxSockets * MAX_CALLERS_SHARE;
+    return this.callerCount >= this.#maxSockets * MAX_CALLERS_SHARE ||
+      this.#openCount >= this.#maxSockets * (1 - RESERVED_SHARE);
   }
 
   /** True if there is room for the requests in flight beside all idle connections. */
   hasAmpleRoom(inFlight: number): boolean {
-    return this.callerCount + this.targetCount + inFlight <
-      this.#maxSockets * (1 - RESERVED_SHARE);
+    return this.#openCount + inFlight < this.#maxForRequests;
   }
 
   /** True if each of the requests in flight can have a connection to a target. */
   hasRoomForRequest(inFlight: number): boolean {
-    return this.callerCount + Math.max(inFlight, this.targetCount) <
-      this.#maxSockets * (1 - RESERVED_SHARE);
+    const waiting = Math.max(0, inFlight - this.targetCount);
+    return this.#openCount + waiting < this.#maxForRequests;
+  }
+
+  get #openCount(): number {
+    return this.callerCount + this.targetCount;
+  }
+
+  get #maxForRequests(): number {
+    return this.#maxSockets * (1 - RESERVED_SHARE - REFUSED_SHARE);
   }
 }
--- a/packages/gateway/src/directory_server.ts
+++ b/packages/gateway/src/directory_server.ts
@@ -4,9 +4,12 @@
  */
 import type { Server, ServerResponse } from "node:http";
 import { selectEntries } from "@bamboolane/steering/select_entries";
-import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
-import { type AnswerRequest, createBoundedServer } from "./bounded_server.ts";
+import {
+  type AnswerRequest,
+  type BoundedServerOptions,
+  createBoundedServer,
+} from "./bounded_server.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { GatewayState } from "./gateway_state.ts";
 import { listen } from "./listen.ts";
@@ -24,9 +27,11 @@
 /** An answer may have a line for each label set, so that few may be open. */
 const MAX_METRICS_ANSWERS = 2;
 
+/** Options of all servers. */
+export type SharedOptions = Pick<BoundedServerOptions, "log" | "pacer">;
+
 /** Options of {@link serveDirectory}. */
-export interface DirectoryOptions {
-  log: EventLog;
+export interface DirectoryOptions extends SharedOptions {
   dialect: CallerDialect;
   state: GatewayState;
   /** How long callers may cache an answer. */
@@ -53,11 +58,12 @@
   address: string,
   options: DirectoryOptions,
 ): Promise<Server> {
-  const { dialect, log } = options;
+  const { dialect, log, pacer } = options;
   const server = createBoundedServer({
     name: "directory",
     maxConnections: MAX_DIRECTORY_CONNECTIONS,
     log,
+    pacer,
   }, (request, response) => {
     const [path, query] = (request.url ?? "/").split("?", 2);
     if (path !== dialect.directoryPath) return writeJson(response, 404, "{}");
@@ -77,12 +83,13 @@
 /** Starts the readiness check. */
 export async function serveReadiness(
   address: string,
-  options: Pick<DirectoryOptions, "log" | "dialect" | "isReady">,
+  options: SharedOptions & Pick<DirectoryOptions, "dialect" | "isReady">,
 ): Promise<Server> {
   const server = createBoundedServer({
     name: "readiness",
     maxConnections: MAX_READINESS_CONNECTIONS,
     log: options.log,
+    pacer: options.pacer,
   }, (request, response) => {
     const known = request.url === options.dialect.readinessPath;
     const status = !known ? 404 : options.isReady() ? 200 : 503;
@@ -94,27 +101,28 @@
 
 /** Creates the server of the metrics, which `answer` writes. */
 export function createMetricsServer(
-  log: EventLog,
+  options: SharedOptions,
   answer: AnswerRequest,
 ): Server {
   return createBoundedServer({
+    ...options,
     name: "metrics",
     maxConnections: MAX_METRICS_CONNECTIONS,
     maxOpenAnswers: MAX_METRICS_ANSWERS,
-    log,
   }, answer);
 }
 
 /** Starts the server from which other entries read this one's state. */
 export async function serveState(
   address: string,
-  options: Pick<DirectoryOptions, "log" | "state">,
+  options: SharedOptions & Pick<DirectoryOptions, "state">,
 ): Promise<Server> {
   const answers = new StateAnswers(options.state.latestRows);
   const server = createBoundedServer({
     name: "state",
     maxConnections: MAX_STATE_CONNECTIONS,
     log: options.log,
+    pacer: options.pacer,
   }, (request, response) => {
     const [path, query] = (request.url ?? "/").split("?", 2);
     if (path !== STATE_PATH) return writeJson(response, 404, "{}");
--- a/packages/gateway/src/forwarding_headers.ts
+++ b/packages/gateway/src/forwarding_headers.ts
@@ -8,7 +8,7 @@
 export const FORWARDED_HEADER = "bamboolane-forwarded";
 /**
  * Kind of an answer that the receiving entry itself generated; a target's answer has
- * none.
+ * none. Such an answer names its request, unless that was not read.
  */
 export const RESULT_HEADER = "bamboolane-result";
 
--- a/packages/gateway/src/gateway_request.ts
+++ b/packages/gateway/src/gateway_request.ts
@@ -82,6 +82,11 @@
   possibleRuns: number;
   /** Number of all sends. */
   sends: number;
+  /**
+   * Reads the caller's connection if it was not read for some time, so that its close
+   * is noticed before another send; undefined if it was.
+   */
+  readCaller: () => Promise<void> | undefined;
   /** True once the outcome is decided or the caller disconnected. */
   done: boolean;
   /** Aborts the attempt in progress, if any. */
--- a/packages/gateway/src/gateway_server.ts
+++ b/packages/gateway/src/gateway_server.ts
@@ -31,17 +31,18 @@
   FORWARDED_HEADER,
   type ForwardedState,
   parseForwarded,
+  RESULT_HEADER,
   resultHeaders,
 } from "./forwarding_headers.ts";
 import type { GatewayRequest, LocalAnswer } from "./gateway_request.ts";
 import type { GatewayState } from "./gateway_state.ts";
-import { InputPacer } from "./input_pacer.ts";
+import type { InputPacer } from "./input_pacer.ts";
 import { listen } from "./listen.ts";
 import type { MemoryBudget, MemoryShare } from "./memory_budget.ts";
 import { ANSWERED_REQUEST_COST, requestCost } from "./memory_costs.ts";
 import {
+  findHostFault,
   fingerprintOf,
-  hasSeveralHosts,
   headerBytes,
   readBody,
   readHead,
@@ -50,7 +51,7 @@
 import { catchUp, type StallMonitor } from "./stall_monitor.ts";
 
 /** How far a graceful stop has come. */
-type StopPhase = "running" | "stopping" | "closed";
+type StopPhase = "running" | "stopping" | "closed" | "ended";
 
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
@@ -63,12 +64,16 @@
   memory: MemoryBudget;
   /** Shared by all servers of the process. */
   descriptors: DescriptorBudget;
+  /** Shared by all servers of the process. */
+  pacer: InputPacer;
   /** Serves other entries that forward requests. */
   servesEntries?: boolean;
 }
 
-/** Maximum header size of the HTTP parser; the configured limit is lower. */
+/** Maximum header size of the HTTP parser until a configuration is known. */
 const MAX_PARSER_HEADER_BYTES = 131_072;
+/** Characters that the HTTP parser counts of a head of the maximum size, at most. */
+const PARSER_HEADER_FACTOR = 1.25;
 /** Retry delay of callers while no configuration is known. */
 const NO_CONFIG_RETRY_MILLIS = 500;
 /**
@@ -76,8 +81,6 @@
  * admitted again once these crashes expire.
  */
 const HELD_BACK_RETRY_MILLIS = 10_000;
-/** Maximum number of connections that wait to be accepted. */
-const BACKLOG = 4096;
 /** Retry delay of a request for which there is no memory or no descriptor. */
 const LACK_RETRY_MILLIS = 1000;
 /**
@@ -111,10 +114,13 @@
   readonly #server: Server;
   readonly #connections: CallerConnections;
   readonly #pacer: InputPacer;
+  #acceptedCount = 0;
   #phase: StopPhase = "running";
 
   constructor(options: GatewayServerOptions) {
     this.#options = options;
+    this.#pacer = options.pacer;
+    this.#pacer.addServer(this);
     this.#connections = new CallerConnections({
       ...options,
       maxHeadBytes: () => this.#limits().headerBytes,
@@ -122,14 +128,10 @@
       onShed: (socket, cause) => this.#rejectIncomplete(socket, cause),
       hasPausedWithin: (millis) => this.#pacer.hasPausedWithin(millis),
     });
-    this.#pacer = new InputPacer({
-      connections: () => this.#connections.values(),
-      descriptors: options.descriptors,
-      memory: options.memory,
-      openAnswers: () => this.openAnswers,
-    });
     this.#server = createServer({
       maxHeaderSize: MAX_PARSER_HEADER_BYTES,
+      // Node.js would answer such requests itself, and keep them uncounted until then.
+      requireHostHeader: false,
       requestTimeout: 0,
       connectionsCheckingInterval: 500,
       noDelay: true,
@@ -138,11 +140,28 @@
     }, (request, response) => this.#handleSafely(request, response));
     this.#server.on("connection", (socket: Socket) => {
       const connection = this.#connections.add(socket);
+      this.#acceptedCount++;
       this.#pacer.recordAccepted(connection);
+      connection?.onRead(() => this.#connections.admitRead(socket, connection));
       if (this.#phase !== "running" || connection?.lack !== undefined) {
         connection?.announceClose();
       }
     });
+    this.#server.on("timeout", (socket: Socket) => {
+      // What a caller sent in a pause is not read yet.
+      const isPaused = this.#connections.get(socket)?.isPaused ?? false;
+      if (isPaused) socket.setTimeout(this.#server.keepAliveTimeout);
+      else socket.destroy();
+    });
+    this.#server.on(
+      "checkExpectation",
+      (request, response) => this.#handleSafely(request, response),
+    );
+    // Node.js would cut off the answers before it.
+    this.#server.on("connect", (_request: IncomingMessage, socket: Socket) => {
+      this.#rejectMalformed(new Error("CONNECT"), socket);
+      this.#connections.get(socket)?.discardInput();
+    });
     this.#server.on(
       "clientError",
       (error, socket) => this.#rejectMalformed(error, socket as Socket),
@@ -150,12 +169,14 @@
   }
 
   listen(address: string): Promise<void> {
-    const { log } = this.#options;
-    return listen(this.#server, address, { log, backlog: BACKLOG });
+    return listen(this.#server, address, this.#options);
   }
 
   /** Applies the limits of the configuration in force. */
   applyLimits(limits: CallerLimits): void {
+    const maxHeaderSize = limits.headerBytes * PARSER_HEADER_FACTOR;
+    // Node.js reads it for each new connection.
+    Object.assign(this.#server, { maxHeaderSize });
     this.#server.headersTimeout = limits.headerTimeoutMillis;
     this.#server.keepAliveTimeout = limits.idleTimeoutMillis;
   }
@@ -168,40 +189,40 @@
     }
   }
 
+  /** Returns a function that closes the listener, and logs what it accepted until then. */
+  prepareClose(): () => void {
+    const acceptedBefore = this.#acceptedCount;
+    return () => {
+      // Node.js would reset connections whose next request is not read yet.
+      this.#server.closeIdleConnections = () => {};
+      this.#server.close();
+      this.#options.log.info("listener_closed", {
+        accepted: this.#acceptedCount - acceptedBefore,
+        connections: this.#connections.size,
+      });
+    };
+  }
+
   /**
-   * Stops accepting connections, closes idle ones, and refuses requests that are
-   * still on their way.
+   * Closes idle connections, and refuses requests that are still on their way.
    *
-   * @param options.maxAcceptMillis maximum time for accepting those that wait; new ones
-   * may arrive as fast as they are accepted
+   * @param unread connections that were not read, for lack of time
    */
-  async closeListener(
-    { maxAcceptMillis }: { maxAcceptMillis: number },
-  ): Promise<void> {
-    await this.#pacer.acceptWaiting({
-      maxMillis: maxAcceptMillis,
-      hasRoom: () => !this.#options.descriptors.isFull,
-      // The system resets the connections that wait when the listener closes.
-      onAccepted: (accepted) => {
-        // Node.js would reset connections whose next request is not read yet.
-        this.#server.closeIdleConnections = () => {};
-        this.#server.close();
-        this.#options.log.info("listener_closed", {
-          accepted,
-          connections: this.#connections.size,
-        });
-      },
-    });
-    const unread = await this.#pacer.untilAllRead(maxAcceptMillis);
+  closeIdle(unread: ReadonlySet<CallerConnection>): void {
     this.#phase = "closed";
     const nowMillis = performance.now();
     for (const [socket, connection] of this.#connections.entries()) {
-      if (connection.isBusy(nowMillis) || socket.writableEnded) continue;
-      if (!unread.has(connection)) connection.end();
-      else this.#rejectHead(socket, { status: 503, reason: "stopping" });
+      if (connection.pending.size > 0 || socket.writableEnded) continue;
+      if (unread.has(connection)) this.#rejectUnread(socket);
+      else if (!connection.isBusy(nowMillis)) this.#endIdle(socket, connection);
     }
   }
 
+  /** The open connections. */
+  connections(): Iterable<CallerConnection> {
+    return this.#connections.values();
+  }
+
   /** Number of incomplete answers. */
   get openAnswers(): number {
     let open = 0;
@@ -221,9 +242,28 @@
     return this.#connections.size;
   }
 
+  /** Refuses from now on all requests that the runner was not given. */
+  refuseWaiting(): void {
+    this.#phase = "ended";
+    for (const [socket, connection] of this.#connections.entries()) {
+      if (connection.incomplete === undefined) continue;
+      this.#rejectIncomplete(socket, "no-time");
+    }
+  }
+
   /** Closes all connections once what was written is sent. */
   endConnections(): void {
-    for (const connection of this.#connections.values()) connection.end();
+    for (const [socket, connection] of this.#connections.entries()) {
+      if (connection.pending.size > 0 || socket.writableEnded) connection.end();
+      else if (connection.isPaused) this.#rejectUnread(socket);
+      else this.#endIdle(socket, connection);
+    }
+  }
+
+  /** Closes a connection without open answers, and refuses a head that is not complete. */
+  #endIdle(socket: Socket, connection: CallerConnection): void {
+    if (connection.hasPartialHead) this.#rejectUnread(socket);
+    else connection.end();
   }
 
   /** Closes all connections at once, without waiting for incomplete answers. */
@@ -276,12 +316,8 @@
       return;
     }
     this.#pacer.recordRead(connection);
-    if (this.#phase === "closed") {
-      return this.#writeOwnAnswer(request, response, {
-        status: 503,
-        text: "stopping\n",
-        retryAfterMillis: STOPPING_RETRY_MILLIS,
-      });
+    if (this.#phase === "closed" || this.#phase === "ended") {
+      return this.#refuseStopping(request, response);
     }
     const { state, log, memory: budget } = this.#options;
     const memory = budget.open();
@@ -305,10 +341,11 @@
         lack: "no-memory",
       });
     }
-    if (hasSeveralHosts(request)) {
+    const hostFault = findHostFault(request);
+    if (hostFault !== undefined) {
       return this.#reject(request, response, {
         status: 400,
-        reason: "several Host lines",
+        reason: hostFault,
       });
     }
     if (!state.isComplete) {
@@ -368,6 +405,9 @@
       });
     }
     await connection.takeTurn(response);
+    if (this.#phase === "ended") {
+      return this.#refuseStopping(request, response);
+    }
     // The caller may have disconnected without it being read yet: requests of new
     // connections wait while the process is short of time, and longer in a stall.
     if (stallMonitor.stalledRecently()) await catchUp();
@@ -423,6 +463,7 @@
       possibleRuns: 0,
       sends: forwarded.sends,
       arrivals: forwarded.sends,
+      readCaller: () => this.#pacer.readIfUnread(connection),
       done: false,
       abort: undefined,
       expiryTimer: undefined,
@@ -470,6 +511,14 @@
     });
   }
 
+  #refuseStopping(request: IncomingMessage, response: ServerResponse): void {
+    this.#writeOwnAnswer(request, response, {
+      status: 503,
+      text: "stopping\n",
+      retryAfterMillis: STOPPING_RETRY_MILLIS,
+    });
+  }
+
   /** Answers the request that a caller has not completed, and closes the connection. */
   #rejectIncomplete(socket: Socket, cause: ShedCause): void {
     const connection = this.#connections.get(socket);
@@ -503,17 +552,26 @@
     this.#rejectHead(socket, { status, reason: cause });
   }
 
+  /** Refuses the request that may have been sent on a connection that was not read whole. */
+  #rejectUnread(socket: Socket): void {
+    this.#rejectHead(socket, { status: 503, reason: "stopping" });
+  }
+
   /** Answers a request whose head was not read, and closes the connection. */
   #rejectHead(
     socket: Socket,
-    { status, reason }: { status: number; reason: string | undefined },
+    rejection: { status: number; reason: string | undefined },
   ): void {
+    const { reason } = rejection;
+    // Another entry may send the request elsewhere.
+    const status = this.#servesEntries ? 503 : rejection.status;
     this.#options.log.info("request", { outcome: "rejected", status, reason });
+    const result = this.#servesEntries ? `${RESULT_HEADER}: refused\r\n` : "";
     const retryAfter = status === 503
       ? `Retry-After: ${formatRetryAfter(LACK_RETRY_MILLIS)}\r\n`
       : "";
     socket.write(
-      `HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\n${retryAfter}` +
+      `HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\n${retryAfter}${result}` +
         "Connection: close\r\n\r\n",
     );
     this.#connections.get(socket)?.end();
--- a/packages/gateway/src/gateway_state.ts
+++ b/packages/gateway/src/gateway_state.ts
@@ -267,10 +267,13 @@
     return this.#services.get(service)?.warmupMillis ?? DEFAULT_WARMUP_MILLIS;
   }
 
-  /** Work time estimate of a service; `objectiveMillis` is used only when it is created. */
+  /**
+   * Work time estimate of a service. Until an answer was measured, it is derived from the
+   * lowest objective of the routes in use; Infinity leaves it as it is.
+   */
   estimate(service: string, objectiveMillis: number): WorkTimeEstimate {
     let estimate = this.#estimates.get(service);
-    if (estimate === undefined) {
+    if (estimate === undefined || estimate.assumesMoreThan(objectiveMillis)) {
       estimate = new WorkTimeEstimate({ objectiveMillis });
       this.#estimates.set(service, estimate);
     }
--- a/packages/gateway/src/input_pacer.ts
+++ b/packages/gateway/src/input_pacer.ts
@@ -1,23 +1,31 @@
 /**
- * Shares the time of the event loop among callers. In each of its turns Node.js reads
- * all connections that have data but accepts a single new one, so that a few callers
- * whose requests take long to parse would keep all others out. Once the turn has taken
- * too long, nothing more is read until the connections that wait are accepted; then
- * those that sent least are read first.
+ * Shares the time of the event loop among all that want something of the process. In
+ * each of its turns Node.js reads all connections that have data but accepts a single
+ * new one at each listener, so that a few callers whose requests take long to parse
+ * would keep all others out. Once turns have taken too long, no caller is read until the
+ * connections that wait at any listener are accepted, and until the brief requests of
+ * those other than callers, such as look-ups, are answered, which take as much time as
+ * callers did at most. Then the callers that were cheapest to read are read first.
  */
 import type { CallerConnection } from "./caller_connection.ts";
 import type { DescriptorBudget } from "./descriptor_budget.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
+import { PauseMonitor, type PauseMonitorOptions } from "./pause_monitor.ts";
 import { pollSockets } from "./stall_monitor.ts";
+import { TurnSeries } from "./turn_series.ts";
 
-/** Options of {@link InputPacer}. */
-export interface InputPacerOptions {
+/** A server whose connections are read at the pacer's times. */
+export interface PacedServer {
   /** The open connections. */
   connections: () => Iterable<CallerConnection>;
+  /** Number of requests in progress. */
+  readonly openAnswers: number;
+}
+
+/** Options of {@link InputPacer}. */
+export interface InputPacerOptions extends PauseMonitorOptions {
   descriptors: DescriptorBudget;
   memory: MemoryBudget;
-  /** Number of requests in progress. */
-  openAnswers: () => number;
 }
 
 /** How connections that wait are accepted. */
@@ -26,8 +34,8 @@
   maxMillis: number;
   /** True if there is a descriptor for one more connection. */
   hasRoom: () => boolean;
-  /** Called when none waits, or there is no time or room for more. */
-  onAccepted?: (count: number) => void;
+  /** Called in the turn in which none waits. */
+  onAccepted?: () => void;
 }
 
 /** Time in which callers are read before those that wait are accepted. */
@@ -36,6 +44,12 @@
 const MAX_PIECE_MILLIS = 5;
 /** Maximum time for accepting them while the entry isn't stopping. */
 const MAX_ACCEPT_MILLIS = 200;
+/** Time for brief requests in a pause, if callers were read for a shorter time before. */
+const MIN_BRIEF_MILLIS = 25;
+/** Maximum time for brief requests in a pause. */
+const MAX_BRIEF_MILLIS = 200;
+/** Turns that are shorter on average accept brief requests fast enough. */
+const MAX_BRIEF_TURN_MILLIS = 2;
 /** Load of the memory up to which connections are accepted before others are read. */
 const MAX_MEMORY_LOAD = 0.8;
 /** Requests in progress beside which connections are accepted before others are read. */
@@ -44,23 +58,36 @@
 const BATCH_SIZE = 32;
 /** Time after which the next ones are read although turns are long. */
 const MAX_BATCH_MILLIS = 100;
-/** Maximum time for which a request waits until its connection is polled. */
-const MAX_POLL_MILLIS = 500;
+/**
+ * Time for which a connection may be paused before its requests are sent without it
+ * being read.
+ */
+const MAX_UNREAD_MILLIS = 100;
+/** Polls that read what a caller has sent, and its close behind that. */
+const READ_POLLS = 2;
 /** What a connection of which nothing was read counts as. */
-const ASSUMED_BYTES = 4096;
+const ASSUMED_COST_MILLIS = 2;
 
-/** Decides when callers are read. */
+/** Decides when callers are read; one for the process. */
 export class InputPacer {
   readonly #options: InputPacerOptions;
+  readonly #monitor: PauseMonitor;
+  readonly #servers: PacedServer[] = [];
   #acceptedCount = 0;
+  /** Connections and requests of the listeners whose requests are brief. */
+  #briefCount = 0;
   /** Time for reading callers in this turn of the event loop; undefined if none was read. */
   #readMillis: number | undefined;
   #lastReadMillis = 0;
-  /** The turns that accepted a connection each; undefined if the last one didn't. */
-  #accepting: { startMillis: number; turns: number } | undefined;
+  #lastRead: CallerConnection | undefined;
+  /** The turns that accepted a connection of a caller each. */
+  readonly #accepting = new TurnSeries();
+  /** The turns that accepted a connection of another listener, or read a request of one. */
+  readonly #brief = new TurnSeries();
   /** Resolves once callers are read again; undefined while they are. */
   #pause: Promise<void> | undefined;
   #pausedAtMillis = -Infinity;
+  #resumedAtMillis = performance.now();
   /** Connections that are still paused, in the order in which they will be read. */
   #unread: CallerConnection[] = [];
   /** Connections of which something was read during the pause. */
@@ -68,9 +95,15 @@
 
   constructor(options: InputPacerOptions) {
     this.#options = options;
+    this.#monitor = new PauseMonitor(options);
   }
 
-  /** Records a new connection. */
+  /** Adds a server whose connections it reads from now on. */
+  addServer(server: PacedServer): void {
+    this.#servers.push(server);
+  }
+
+  /** Records a new connection of a caller; undefined if it was closed at once. */
   recordAccepted(connection: CallerConnection | undefined): void {
     this.#acceptedCount++;
     if (this.#pause !== undefined) {
@@ -78,20 +111,29 @@
       if (connection !== undefined) this.#unpaused.add(connection);
       return;
     }
-    this.#accepting ??= { startMillis: performance.now(), turns: 0 };
-    const { startMillis } = this.#accepting;
-    const turns = ++this.#accepting.turns;
-    const accepted = this.#acceptedCount;
     // More connections wait if the next turn accepts one, too.
-    setImmediate(() =>
-      setImmediate(() => {
-        if (this.#acceptedCount === accepted) this.#accepting = undefined;
-      })
-    );
-    const isLate = performance.now() - startMillis > MAX_READ_MILLIS;
+    this.#accepting.record();
+    if (this.#accepting.tookMillis <= MAX_READ_MILLIS) return;
     // More callers would only add to many requests that are in progress.
-    const maxOpenAnswers = Math.max(turns, MAX_OPEN_ANSWERS);
-    if (isLate && this.#options.openAnswers() <= maxOpenAnswers) {
+    const maxOpenAnswers = Math.max(this.#accepting.turns, MAX_OPEN_ANSWERS);
+    if (this.#openAnswers <= maxOpenAnswers) this.#acceptFirst();
+  }
+
+  get #openAnswers(): number {
+    return this.#servers.reduce((sum, { openAnswers }) => sum + openAnswers, 0);
+  }
+
+  /**
+   * Records a new connection, or a request, of a listener whose requests are brief, such
+   * as look-ups.
+   */
+  recordBrief(): void {
+    this.#briefCount++;
+    if (this.#pause !== undefined) return;
+    this.#brief.record();
+    const { tookMillis, turns } = this.#brief;
+    const isLate = tookMillis > MAX_READ_MILLIS;
+    if (isLate && tookMillis > turns * MAX_BRIEF_TURN_MILLIS) {
       this.#acceptFirst();
     }
   }
@@ -106,14 +148,21 @@
     const nowMillis = performance.now();
     if (this.#readMillis === undefined) {
       this.#readMillis = 0;
-      setImmediate(() => this.#readMillis = undefined);
+      setImmediate(() => {
+        this.#readMillis = undefined;
+        this.#monitor.recordTurn(performance.now() - nowMillis);
+      });
     } else {
-      this.#readMillis += Math.min(
+      const pieceMillis = Math.min(
         nowMillis - this.#lastReadMillis,
         MAX_PIECE_MILLIS,
       );
+      this.#readMillis += pieceMillis;
+      // The time between reads of two connections may be that of other work.
+      if (connection === this.#lastRead) connection.recordCost(pieceMillis);
     }
     this.#lastReadMillis = nowMillis;
+    this.#lastRead = connection;
     if (this.#readMillis > MAX_READ_MILLIS) this.#acceptFirst();
   }
 
@@ -128,18 +177,35 @@
   }
 
   /**
-   * Resolves once a connection was polled without a pause, so that its caller's close
-   * is noticed, or after some time.
+   * Resolves once a connection was polled, so that its caller's close is noticed. One
+   * that stays paused is read for that.
    */
   async untilPolled(connection: CallerConnection): Promise<void> {
-    const endMillis = performance.now() + MAX_POLL_MILLIS;
+    const endMillis = performance.now() + MAX_UNREAD_MILLIS;
     let wasPaused: boolean;
     do {
       wasPaused = connection.isPaused;
       await pollSockets();
-    } while (
-      (wasPaused || connection.isPaused) && performance.now() < endMillis
-    );
+      if (!wasPaused && !connection.isPaused) return;
+    } while (performance.now() < endMillis);
+    await this.#read(connection);
+  }
+
+  /** Reads a connection that is paused for some time; undefined if it isn't. */
+  readIfUnread(connection: CallerConnection): Promise<void> | undefined {
+    return connection.pausedMillis > MAX_UNREAD_MILLIS
+      ? this.#read(connection)
+      : undefined;
+  }
+
+  /** Reads a connection, also during a pause. */
+  async #read(connection: CallerConnection): Promise<void> {
+    for (let poll = 0; poll < READ_POLLS; poll++) {
+      this.#unpaused.delete(connection);
+      connection.resumeInput();
+      await pollSockets();
+    }
+    if (this.#pause !== undefined) this.#pauseInput([connection]);
   }
 
   /**
@@ -160,7 +226,10 @@
       performance.now() < endMillis
     );
     await pollSockets();
-    return new Set(this.#unread);
+    // A pause that began meanwhile stopped some that had been read for a moment only.
+    return new Set(
+      [...this.#connections()].filter(({ isPaused }) => isPaused),
+    );
   }
 
   /** True if callers waited within the given time because reading took too long. */
@@ -170,8 +239,9 @@
 
   /** Accepts the connections that wait, and reads nothing meanwhile. */
   async acceptWaiting(options: AcceptOptions): Promise<void> {
-    if (this.#pause !== undefined) await this.#pause;
-    this.#accepting = undefined;
+    while (this.#pause !== undefined) await this.#pause;
+    this.#accepting.end();
+    this.#brief.end();
     this.#pause = this.#acceptPaused(options);
     await this.#pause;
   }
@@ -179,48 +249,80 @@
   async #acceptPaused(
     { maxMillis, hasRoom, onAccepted }: AcceptOptions,
   ): Promise<void> {
-    const countBefore = this.#acceptedCount;
-    this.#pausedAtMillis = performance.now();
-    for (const connection of this.#options.connections()) {
-      connection.pauseInput();
-    }
+    const startMillis = performance.now();
+    const acceptedBefore = this.#acceptedCount;
+    const briefBefore = this.#briefCount;
+    this.#pausedAtMillis = startMillis;
+    this.#pauseInput(this.#connections());
     await this.#endTurn();
     const endMillis = performance.now() + maxMillis;
-    let accepted: number;
+    const briefEndMillis = performance.now() + Math.min(
+      Math.max(startMillis - this.#resumedAtMillis, MIN_BRIEF_MILLIS),
+      MAX_BRIEF_MILLIS,
+    );
+    let isAccepting = true;
+    let isBrief: boolean;
     do {
-      accepted = this.#acceptedCount;
+      const accepted = this.#acceptedCount;
+      const brief = this.#briefCount;
       await this.#endTurn();
-    } while (
-      this.#acceptedCount > accepted && performance.now() < endMillis &&
-      hasRoom()
-    );
-    onAccepted?.(this.#acceptedCount - countBefore);
+      const nowMillis = performance.now();
+      if (isAccepting) {
+        const isNoneWaiting = this.#acceptedCount === accepted;
+        if (isNoneWaiting) onAccepted?.();
+        isAccepting = !isNoneWaiting && nowMillis < endMillis && hasRoom();
+      }
+      isBrief = this.#briefCount > brief && nowMillis < briefEndMillis;
+    } while (isAccepting || isBrief);
     this.#pause = undefined;
+    this.#resumedAtMillis = performance.now();
+    this.#monitor.recordPause({
+      tookMillis: this.#resumedAtMillis - startMillis,
+      accepted: this.#acceptedCount - acceptedBefore,
+      brief: this.#briefCount - briefBefore,
+    });
     this.#resume();
   }
 
+  *#connections(): Generator<CallerConnection> {
+    for (const server of this.#servers) yield* server.connections();
+  }
+
   /** Resolves at the end of the turn of the event loop, with all input paused. */
   async #endTurn(): Promise<void> {
     await new Promise((resolve) => setImmediate(resolve));
-    for (const connection of this.#unpaused) connection.pauseInput();
+    this.#pauseInput(this.#unpaused);
     this.#unpaused.clear();
   }
 
+  /**
+   * Reads nothing more, except from callers that wait for their answer: little more
+   * than their close can come, and their requests must not be sent after it. What comes
+   * on connections that are ended is dropped; unread, it would reset them.
+   */
+  #pauseInput(connections: Iterable<CallerConnection>): void {
+    for (const connection of connections) {
+      const isRead = connection.waitsForAnswer || connection.isEnded;
+      if (!isRead) connection.pauseInput();
+      else if (connection.isPaused) connection.resumeInput();
+    }
+  }
+
   /** Reads all connections; the system reports them in the order of these calls. */
   #resume(): void {
     const nowMillis = performance.now();
     // Among those of which nothing was read, the newest come first: some of them would
     // wait for too long in any order.
-    const connections = [...this.#options.connections()].reverse().map(
+    const connections = [...this.#connections()].reverse().map(
       (connection) => ({
         connection,
         // Little more than the close of a caller that waits for its answer can come.
-        recentBytes: connection.waitsForAnswer
+        costMillis: connection.waitsForAnswer
           ? 0
-          : connection.recentBytes(nowMillis) || ASSUMED_BYTES,
+          : connection.recentCostMillis(nowMillis) || ASSUMED_COST_MILLIS,
       }),
     );
-    connections.sort((a, b) => a.recentBytes - b.recentBytes);
+    connections.sort((a, b) => a.costMillis - b.costMillis);
     this.#unread = connections.map(({ connection }) => connection);
     this.#resumeBatch();
   }
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -8,15 +8,16 @@
 /** Options of {@link listen}. */
 export interface ListenOptions {
   log: EventLog;
-  /** Maximum number of connections that wait to be accepted; of the system unless given. */
-  backlog?: number;
 }
 
+/** Maximum number of connections that wait to be accepted. */
+const BACKLOG = 4096;
+
 /** Opens the listener of a server; rejects if that fails. */
 export function listen(
   server: Server,
   address: string,
-  { log, backlog }: ListenOptions,
+  { log }: ListenOptions,
 ): Promise<void> {
   const [host, port] = address.split(":");
   return new Promise((resolve, reject) => {
@@ -35,11 +36,14 @@
       resolve();
     };
     server.once("error", onError).once("listening", onListening);
-    server.listen({ host, port: Number(port), backlog });
+    server.listen({ host, port: Number(port), backlog: BACKLOG });
   });
 }
 
-/** Errors that pass, for example once another process releases the address. */
+/**
+ * Errors that pass, for example once another process releases the address, or its name
+ * can be resolved.
+ */
 const PASSING_ERRORS: ReadonlySet<string | undefined> = new Set([
   "EADDRINUSE",
   "EADDRNOTAVAIL",
@@ -47,6 +51,8 @@
   "ENFILE",
   "ENOBUFS",
   "ENOMEM",
+  "ENOTFOUND",
+  "EAI_AGAIN",
 ]);
 const RETRY_INTERVAL_MILLIS = 100;
 /** Time after which the log repeats what a start waits for. */
--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -1,9 +1,11 @@
 /**
  * Bounds the memory that one process holds for others: connections, heads, requests in
  * progress, bodies, and answers that callers have not read. All of it counts towards the
- * same two limits, whatever its kind: one for the heap of V8, whose overflow ends the
- * process, and one for buffers and other memory outside of it.
+ * same limits, whatever its kind: one for the heap of V8, whose overflow ends the
+ * process, one for buffers and other memory outside of it, and one for what the system
+ * has received for the process and the process has not read.
  */
+import { RECEIVE_WINDOW_BYTES } from "./receive_window.ts";
 
 /** Where memory is allocated. */
 export const MemoryKind = { heap: "heap", buffer: "buffer" } as const;
@@ -17,12 +19,22 @@
   bufferBytes: number;
 }
 
+/** Limits of all that one process holds. */
+export interface MemoryLimits extends MemoryAmount {
+  /** What callers and targets may have sent that the process has not read. */
+  unreadBytes: number;
+  /** The same together with the resident memory of the process. */
+  totalBytes: number;
+}
+
 /** Options of {@link MemoryBudget}. */
 export interface MemoryBudgetOptions {
-  /** Memory for all that is held. */
-  limits: MemoryAmount;
+  limits: MemoryLimits;
 }
 
+/** Connections that may always have sent something. */
+const MIN_SENDERS = 256;
+
 /**
  * Share of the buffers that large bodies may take together. Ordinary requests are not
  * refused because of a few large ones.
@@ -31,11 +43,18 @@
 
 /** Memory that one process holds for others. */
 export class MemoryBudget {
-  readonly #limits: MemoryAmount;
+  readonly #limits: MemoryLimits;
   #heapBytes = 0;
   #bufferBytes = 0;
   #largeBodyBytes = 0;
   #isSuspended = false;
+  /** The most that callers and targets may have sent that was not read yet. */
+  unreadBytes = 0;
+  /**
+   * Resident memory of the process. What was freed may stay in it, so that it doesn't
+   * bound what is held, but only what may not be read beside it.
+   */
+  residentBytes = 0;
   /** Requests that were refused for lack of memory or descriptors. */
   refusalCount = 0;
 
@@ -48,18 +67,33 @@
     return { heapBytes: this.#heapBytes, bufferBytes: this.#bufferBytes };
   }
 
-  get limits(): MemoryAmount {
+  get limits(): MemoryLimits {
     return this.#limits;
   }
 
-  /** Part of the limit that is taken, of the kind that is scarcer; above 1 beyond the limit. */
-  get load(): number {
+  /** Part of the limit that is held, of the kind that is scarcer; above 1 beyond the limit. */
+  get heldLoad(): number {
     return Math.max(
       this.#heapBytes / this.#limits.heapBytes,
       this.#bufferBytes / this.#limits.bufferBytes,
     );
   }
 
+  /** The same for what may not be read yet. */
+  get unreadLoad(): number {
+    const { unreadBytes, totalBytes } = this.#limits;
+    const maxUnreadBytes = Math.max(
+      Math.min(unreadBytes, totalBytes - this.residentBytes),
+      MIN_SENDERS * RECEIVE_WINDOW_BYTES,
+    );
+    return this.unreadBytes / maxUnreadBytes;
+  }
+
+  /** The larger one of both. */
+  get load(): number {
+    return Math.max(this.heldLoad, this.unreadLoad);
+  }
+
   /** Refuses all reservations while the heap itself is nearly full. */
   set suspended(isSuspended: boolean) {
     this.#isSuspended = isSuspended;
@@ -164,6 +198,14 @@
     this.#add(amount);
   }
 
+  /** Returns a part of the memory. */
+  release(amount: MemoryAmount): void {
+    if (this.#isClosed) return;
+    this.#budget.release(amount);
+    this.#heapBytes -= amount.heapBytes;
+    this.#bufferBytes -= amount.bufferBytes;
+  }
+
   /** Returns the memory. */
   close(): void {
     if (this.#isClosed) return;
--- a/packages/gateway/src/memory_monitor.ts
+++ b/packages/gateway/src/memory_monitor.ts
@@ -8,7 +8,7 @@
 import { getHeapStatistics } from "node:v8";
 import type { EventLog, LogFields } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
-import type { MemoryAmount, MemoryBudget } from "./memory_budget.ts";
+import type { MemoryBudget, MemoryLimits } from "./memory_budget.ts";
 
 /** Memory of the process where its limit isn't known. */
 const DEFAULT_MEMORY_BYTES = 367_001_600;
@@ -25,6 +25,10 @@
  * memory that was released but not returned to the system.
  */
 const HELD_BUFFER_SHARE = 0.25;
+/** Share of the memory for what the system has received and the process has not read. */
+const UNREAD_SHARE = 0.3;
+/** Share of the memory for the same together with what is resident. */
+const TOTAL_SHARE = 0.9;
 
 const CHECK_INTERVAL_MILLIS = 250;
 /** Shares of a limit from which its memory counts as high, and below which no longer. */
@@ -39,11 +43,14 @@
  * undefined if there is no known limit.
  */
 export function planMemory(
-  memoryBytes: number = DEFAULT_MEMORY_BYTES,
-): MemoryAmount {
+  memoryBytes?: number,
+): MemoryLimits {
+  const sharedBytes = memoryBytes ?? DEFAULT_MEMORY_BYTES;
   return {
-    heapBytes: heapLimitBytes(memoryBytes) * HELD_HEAP_SHARE,
-    bufferBytes: memoryBytes * HELD_BUFFER_SHARE,
+    heapBytes: heapLimitBytes(sharedBytes) * HELD_HEAP_SHARE,
+    bufferBytes: sharedBytes * HELD_BUFFER_SHARE,
+    unreadBytes: sharedBytes * UNREAD_SHARE,
+    totalBytes: (memoryBytes ?? Infinity) * TOTAL_SHARE,
   };
 }
 
@@ -72,13 +79,15 @@
   #isHigh = false;
   #loggedAtMillis = -Infinity;
   #loggedRefusals = 0;
+  #residentBytes = 0;
+  #isResidentUnknown = false;
 
   constructor(options: MemoryMonitorOptions) {
     this.#options = options;
     this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MILLIS);
     this.#timer.unref();
     const { memory, metrics } = options;
-    metrics.gauge("bamboolane_resident_bytes", () => process.memoryUsage.rss());
+    metrics.gauge("bamboolane_resident_bytes", () => this.#readResidentBytes());
     metrics.gauge(
       "bamboolane_heap_bytes",
       () => getHeapStatistics().used_heap_size,
@@ -92,6 +101,7 @@
       "bamboolane_held_buffer_bytes",
       () => memory.held.bufferBytes,
     );
+    metrics.gauge("bamboolane_unread_bytes", () => memory.unreadBytes);
     metrics.gauge("bamboolane_memory_refusals", () => memory.refusalCount);
   }
 
@@ -99,11 +109,29 @@
     clearInterval(this.#timer);
   }
 
+  /** Resident memory, or what it was at last while the system doesn't tell. */
+  #readResidentBytes(): number {
+    try {
+      // Node.js opens a file for this, and lacks a descriptor for it at times.
+      this.#residentBytes = process.memoryUsage.rss();
+      this.#isResidentUnknown = false;
+    } catch (error) {
+      if (!this.#isResidentUnknown) {
+        this.#options.log.warn("resident_memory_unknown", {
+          error: (error as Error).message,
+        });
+      }
+      this.#isResidentUnknown = true;
+    }
+    return this.#residentBytes;
+  }
+
   #check(): void {
     const { memory, memoryBytes = Infinity, log } = this.#options;
     const { used_heap_size: heapBytes, heap_size_limit: heapLimitBytes } =
       getHeapStatistics();
-    const residentBytes = process.memoryUsage.rss();
+    const residentBytes = this.#readResidentBytes();
+    memory.residentBytes = residentBytes;
     const heapShare = heapBytes / heapLimitBytes;
     const residentShare = residentBytes / memoryBytes;
     memory.suspended = heapShare >=
@@ -124,6 +152,7 @@
       memoryBytes,
       heldHeapBytes: Math.round(memory.held.heapBytes),
       heldBufferBytes: Math.round(memory.held.bufferBytes),
+      unreadBytes: memory.unreadBytes,
       refused: memory.refusalCount - this.#loggedRefusals,
       ...this.#options.describe(),
     };
--- a/packages/gateway/src/peer_forwarder.ts
+++ b/packages/gateway/src/peer_forwarder.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import { choosePeer } from "@bamboolane/steering/choose_peer";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import type { AnswerPacer } from "./answer_pacer.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { DescriptorBudget } from "./descriptor_budget.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -20,6 +21,7 @@
   dialect: CallerDialect;
   state: GatewayState;
   descriptors: DescriptorBudget;
+  answerPacer: AnswerPacer;
   log: EventLog;
   random: () => number;
 }
@@ -164,6 +166,7 @@
     if (connections === undefined) {
       connections = new TargetConnections(address, {
         descriptors: this.#options.descriptors,
+        pacer: this.#options.answerPacer,
         onConnected: () => {},
       });
       this.#connections.set(address, connections);
--- a/packages/gateway/src/reach_monitor.ts
+++ b/packages/gateway/src/reach_monitor.ts
@@ -6,6 +6,7 @@
 import { connect } from "node:net";
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import {
+  findCutOffTargets,
   planReachChecks,
   type ReachCheck,
   type ReachState,
@@ -55,6 +56,7 @@
 
   #plan(): void {
     const nowMillis = performance.now();
+    this.#recordCutOff(nowMillis);
     const states: ReachState[] = [];
     for (const target of this.#options.state.targets.all()) {
       states.push(this.#stateOf(target));
@@ -72,6 +74,16 @@
     }
   }
 
+  /** An entry that is cut off need not try each of many targets to know. */
+  #recordCutOff(nowMillis: number): void {
+    const { state, log, onUnreachable } = this.#options;
+    const targets = findCutOffTargets([...state.targets.all()], nowMillis);
+    if (targets.length === 0) return;
+    log.warn("cut_off", { targets: targets.length });
+    for (const target of targets) target.presumeUnreachable();
+    for (const target of targets) onUnreachable(target);
+  }
+
   #stateOf(target: TargetState): ReachState {
     let state = this.#states.get(target);
     if (state === undefined) {
--- a/packages/gateway/src/read_request.ts
+++ b/packages/gateway/src/read_request.ts
@@ -37,11 +37,18 @@
   return size;
 }
 
-/** True for a request with more than one Host line, which no target may be sent. */
-export function hasSeveralHosts({ rawHeaders }: IncomingMessage): boolean {
+/** Why no target may be sent a request with such Host lines; undefined if it may. */
+export function findHostFault(
+  { rawHeaders, headers, httpVersion }: IncomingMessage,
+): string | undefined {
+  if (headers.host === undefined) {
+    return httpVersion === "1.1" ? "no Host line" : undefined;
+  }
   const isHost = (text: string, i: number) =>
     i % 2 === 0 && text.length === 4 && text.toLowerCase() === "host";
-  return rawHeaders.filter(isHost).length > 1;
+  return rawHeaders.filter(isHost).length > 1
+    ? "several Host lines"
+    : undefined;
 }
 
 /** Reads the headers of a request. */
--- a/packages/gateway/src/request_placer.ts
+++ b/packages/gateway/src/request_placer.ts
@@ -246,6 +246,7 @@
       remainingMillis: request.expiresAtMillis - nowMillis,
       objectiveRemainingMillis: request.objectiveAtMillis - nowMillis,
       load: remoteShare.load,
+      isEstimateStale: departures.read(nowMillis) === 0,
       random: random(),
     });
     if (admission.kind === "accept") return admission;
--- a/packages/gateway/src/request_runner.ts
+++ b/packages/gateway/src/request_runner.ts
@@ -15,6 +15,7 @@
   type TargetState,
 } from "@bamboolane/steering/target_state";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import type { AnswerPacer } from "./answer_pacer.ts";
 import { AttemptRecorder } from "./attempt_recorder.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import type { DescriptorBudget } from "./descriptor_budget.ts";
@@ -36,6 +37,7 @@
 import { RoundTripEstimates } from "./round_trip_estimates.ts";
 import { type AttemptEnd, sendAttempt } from "./send_attempt.ts";
 import type { StallMonitor } from "./stall_monitor.ts";
+import { type StalledStream, StalledStreams } from "./stalled_streams.ts";
 import { TargetConnections } from "./target_connections.ts";
 
 /** Options of {@link RequestRunner}. */
@@ -45,6 +47,7 @@
   state: GatewayState;
   stallMonitor: StallMonitor;
   descriptors: DescriptorBudget;
+  answerPacer: AnswerPacer;
   log: EventLog;
   metrics: Metrics;
   random: () => number;
@@ -82,6 +85,7 @@
   readonly #queueTimer: NodeJS.Timeout;
   /** Attempts without an answer so far, by target. */
   readonly #unanswered = new WeakMap<TargetState, Set<UnansweredAttempt>>();
+  readonly #stalledStreams = new StalledStreams();
   /** Requests that are queued or at a target. */
   readonly #active = new Set<GatewayRequest>();
   /** When a stop ends, by which requests must be answered; Infinity without one. */
@@ -198,6 +202,9 @@
   /** Sends queued requests of all services as far as targets have room. */
   dispatchQueued(): void {
     this.#refuseUnfinishable();
+    if (!this.#options.stallMonitor.isCatchingUp()) {
+      this.#stalledStreams.freeSlots(performance.now());
+    }
     for (const [service, serviceState] of this.#placer.serviceStates) {
       if (serviceState.queue.length > 0) this.#dispatchQueue(service);
     }
@@ -234,7 +241,7 @@
 
   #start(request: GatewayRequest, nowMillis: number): void {
     const { queue, remoteShare } = this.#placer.serviceState(request.service);
-    const placement = this.#placer.place(request, nowMillis);
+    const placement = this.#place(request, nowMillis);
     const expectedMillis = placement.kind === "send"
       ? placement.finishMillis
       : this.#placer.expectedMillis(request, {
@@ -262,8 +269,7 @@
     if (placement.kind === "send" && queue.length === 0) {
       return this.#send(request, placement, nowMillis);
     }
-    queue.add(request);
-    this.#dispatchQueue(request.service);
+    this.#enqueue(request);
   }
 
   /**
@@ -275,13 +281,13 @@
     const serviceState = this.#placer.serviceState(service);
     while (serviceState.queue.length > 0) {
       const nowMillis = performance.now();
-      // Exists already, so the objective is not used: placing a request creates it.
-      const estimate = this.#options.state.estimate(service, 0);
+      const estimate = this.#options.state.estimate(service, Infinity);
       const request = serviceState.queue.take(nowMillis, {
         workMillis: estimate.meanMillis(),
       });
       if (request === undefined) return;
-      const placement = this.#placer.place(request, nowMillis);
+      if (this.#waitsForCaller(request, () => this.#enqueue(request))) continue;
+      const placement = this.#place(request, nowMillis);
       if (placement.kind !== "send") {
         if (this.#forward(request, placement.kind)) continue;
         serviceState.queue.add(request);
@@ -294,6 +300,36 @@
     }
   }
 
+  /** Chooses a target; where its slots are taken, a stalled answer may lose its own. */
+  #place(request: GatewayRequest, nowMillis: number): Placement {
+    const placement = this.#placer.place(request, nowMillis);
+    const targets = findFullTargets(placement);
+    if (targets.length === 0 || this.#options.stallMonitor.isCatchingUp()) {
+      return placement;
+    }
+    return this.#stalledStreams.cutLongest(targets, nowMillis)
+      ? this.#placer.place(request, nowMillis)
+      : placement;
+  }
+
+  #enqueue(request: GatewayRequest): void {
+    this.#placer.serviceState(request.service).queue.add(request);
+    this.#dispatchQueue(request.service);
+  }
+
+  /**
+   * True if the caller's connection has to be read before another send; `step` runs
+   * after that, unless the caller has left.
+   */
+  #waitsForCaller(request: GatewayRequest, step: () => void): boolean {
+    const read = request.readCaller();
+    if (read === undefined) return false;
+    read.then(() => {
+      if (!request.done) this.#guard(request, step);
+    });
+    return true;
+  }
+
   /** Runs a step of a request; an error in it fails this request only. */
   #guard(request: GatewayRequest, step: () => void): void {
     try {
@@ -360,6 +396,7 @@
     let headAtMillis = 0;
     const finishAttempt = (reusable: boolean) => {
       this.#unanswered.get(target)?.delete(unanswered);
+      this.#stalledStreams.delete(target, stalled);
       target.recordEnd();
       request.abort = undefined;
       if (reusable) connections.release(connection, performance.now());
@@ -381,6 +418,11 @@
           nowMillis: headAtMillis,
         });
       },
+      onCallerWait: (isWaiting) => {
+        if (!isWaiting) return this.#stalledStreams.delete(target, stalled);
+        stalled.sinceMillis = performance.now();
+        this.#stalledStreams.add(target, stalled);
+      },
       onEnd: (end) => {
         const endMillis = performance.now();
         const isAnswerComplete = end.kind === "answered" ||
@@ -417,6 +459,19 @@
         this.#handleResult(request, target, end);
       },
     };
+    const stalled: StalledStream = {
+      sinceMillis: Infinity,
+      cut: (waitedMillis) => {
+        log.warn("stream_stalled", {
+          request: request.id,
+          target: record.id,
+          waitedMillis: Math.round(waitedMillis),
+        });
+        this.#finish(request, "stream-cut", { target, reason: "unread" });
+        abort("unread");
+        finishAttempt(false);
+      },
+    };
     this.#addUnanswered(target, unanswered);
     request.abort = (reason) => {
       // Closing the connection first would end the attempt with an error.
@@ -440,6 +495,7 @@
     if (connections === undefined) {
       connections = new TargetConnections(address, {
         descriptors: this.#options.descriptors,
+        pacer: this.#options.answerPacer,
         onConnected: (tookMillis) =>
           this.#roundTrips.addSample(dataCentre, tookMillis),
       });
@@ -455,6 +511,22 @@
     end: AttemptEnd,
   ): void {
     if (request.done) return;
+    recordNotRun(request, end);
+    // The target is sound; only this connection to it has ended.
+    if (end.kind === "unsent") {
+      request.sends--;
+      request.triedTargets.delete(target.record.id);
+    }
+    const step = () => this.#decideAfterTarget(request, target, end);
+    if (mayRepeat(end) && this.#waitsForCaller(request, step)) return;
+    step();
+  }
+
+  #decideAfterTarget(
+    request: GatewayRequest,
+    target: TargetState,
+    end: AttemptEnd,
+  ): void {
     switch (end.kind) {
       case "answered":
         if (end.answer.status >= 500 && this.#retry(request, "target-error")) {
@@ -471,13 +543,6 @@
       case "not-run":
       case "unreachable":
       case "unsent":
-        request.possibleRuns--;
-        if (end.kind !== "not-run") request.arrivals--;
-        // The target is sound; only this connection to it has ended.
-        if (end.kind === "unsent") {
-          request.sends--;
-          request.triedTargets.delete(target.record.id);
-        }
         if (this.#retry(request, end.kind)) return;
         return this.#refuse(request, {
           reason: end.kind,
@@ -522,7 +587,7 @@
     const expectedMillis = this.#placer.estimate(request).meanMillis();
     if (!this.#canFinish(expectedMillis, nowMillis)) return false;
     if (request.sends >= route.attempts) return this.#forward(request, cause);
-    const placement = this.#placer.place(request, nowMillis);
+    const placement = this.#place(request, nowMillis);
     if (placement.kind !== "send") return this.#forward(request, cause);
     if (!this.#spendRetry(request, cause)) return false;
     metrics.count("bamboolane_retries", 1, { cause });
@@ -579,6 +644,19 @@
     end: AttemptEnd,
   ): void {
     if (request.done) return;
+    recordNotRun(request, end);
+    // Another entry counts the arrivals of what it did not run itself.
+    if (end.kind === "not-run") request.arrivals--;
+    const step = () => this.#decideAfterEntry(request, peer, end);
+    if (mayRepeat(end) && this.#waitsForCaller(request, step)) return;
+    step();
+  }
+
+  #decideAfterEntry(
+    request: GatewayRequest,
+    peer: EntryRecord,
+    end: AttemptEnd,
+  ): void {
     switch (end.kind) {
       case "answered":
         this.#finish(request, "answered", {
@@ -592,8 +670,6 @@
       case "not-run":
       case "unreachable":
       case "unsent":
-        request.possibleRuns--;
-        request.arrivals--;
         if (this.#retry(request, `entry-${end.kind}`)) return;
         return this.#refuse(request, {
           reason: `entry-${end.kind}`,
@@ -752,6 +828,53 @@
   }
 }
 
+/** Targets where the request needs a slot that others have. */
+function findFullTargets(placement: Placement): readonly TargetState[] {
+  switch (placement.kind) {
+    case "send":
+      return placement.waitMillis > 0 ? [placement.target] : [];
+    case "full":
+      return placement.fullTargets;
+    case "none":
+      return [];
+  }
+}
+
+/** Takes back what was counted for an attempt that proved not to have run. */
+function recordNotRun(request: GatewayRequest, end: AttemptEnd): void {
+  switch (end.kind) {
+    case "not-run":
+      request.possibleRuns--;
+      return;
+    case "unreachable":
+    case "unsent":
+      request.possibleRuns--;
+      request.arrivals--;
+      return;
+    case "answered":
+    case "streamed":
+    case "stream-cut":
+    case "lost":
+      return;
+  }
+}
+
+/** True if the request may be sent again after such an end of an attempt. */
+function mayRepeat(end: AttemptEnd): boolean {
+  switch (end.kind) {
+    case "answered":
+      return end.answer.status >= 500;
+    case "streamed":
+    case "stream-cut":
+      return false;
+    case "not-run":
+    case "unreachable":
+    case "unsent":
+    case "lost":
+      return true;
+  }
+}
+
 /** What the log says about a request whose processing failed. */
 function describeRequest(request: GatewayRequest): Record<string, string> {
   return {
--- a/packages/gateway/src/send_attempt.ts
+++ b/packages/gateway/src/send_attempt.ts
@@ -18,7 +18,12 @@
   NOT_RUN_STATUSES,
   type TargetAnswer,
 } from "./gateway_request.ts";
-import { ORDINARY_ANSWER_BYTES } from "./memory_costs.ts";
+import type { MemoryAmount } from "./memory_budget.ts";
+import {
+  answerHeadCost,
+  ORDINARY_ANSWER_BYTES,
+  partialAnswerHeadCost,
+} from "./memory_costs.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Answers up to this size are buffered until they are complete; larger ones are streamed. */
@@ -37,11 +42,14 @@
  */
 const STREAM_BUFFER_BYTES = 131_072;
 
+/** Share of the memory that may be taken for heads and trailers that are not complete. */
+const PARTIAL_FIELDS_SHARE = 0.6;
+
 /** Result of one attempt. */
 export type AttemptEnd =
   | { kind: "answered"; answer: TargetAnswer; closesConnection: boolean }
   /** An answer too large to buffer was streamed to the caller. */
-  | { kind: "streamed"; closesConnection: boolean }
+  | { kind: "streamed"; status: number; closesConnection: boolean }
   | { kind: "stream-cut"; reason: string }
   /** The target, or the entry that the request was forwarded to, did not run it. */
   | {
@@ -104,6 +112,8 @@
   remainingMillis: number;
   /** Called once the answer's headers arrived. */
   onHead: (head: AnswerHead) => void;
+  /** Called when a streamed answer begins to wait until its caller reads, and ends to. */
+  onCallerWait?: (isWaiting: boolean) => void;
   onEnd: (end: AttemptEnd) => void;
   /** Called with an error that a callback of the attempt threw, in place of `onEnd`. */
   onFault: (error: Error) => void;
@@ -138,6 +148,8 @@
   #refusalTimer: NodeJS.Timeout | undefined;
   #retryAfterMillis: number | undefined;
   readonly #body: ByteCollector;
+  /** Memory of a head or trailers that are not complete. */
+  #partialFields: MemoryAmount = { heapBytes: 0, bufferBytes: 0 };
   /** Buffers for the answer that may still be used without taking more memory. */
   #freeBytes = ORDINARY_ANSWER_BYTES;
   #size = 0;
@@ -159,7 +171,7 @@
   start(): void {
     const { connection, dialect, remainingMillis } = this.#options;
     this.#starting = true;
-    connection.expectHead();
+    connection.expectAnswer((bytes) => this.#reserveFields(bytes));
     connection.client.dispatch({
       method: this.#request.method as Dispatcher.HttpMethod,
       path: this.#request.path,
@@ -177,6 +189,7 @@
   abort(reason: string): boolean {
     if (this.#ended) return false;
     this.#ended = true;
+    this.#releaseFields();
     clearTimeout(this.#refusalTimer);
     this.#controller?.abort(new Error(reason));
     this.#options.connection.close();
@@ -203,9 +216,17 @@
     status: number,
   ): void {
     const { connection, dialect, onHead } = this.#options;
-    connection.headReceived();
+    this.#releaseFields();
     this.#status = status;
     const raw = textHeaders(controller.rawHeaders);
+    // Its buffers would be kept until the answer is complete.
+    controller.rawHeaders = [];
+    const headBytes = sizeOfHead(raw);
+    connection.headReceived(headBytes);
+    const cost = answerHeadCost(headBytes, raw.length / 2);
+    if (cost.heapBytes > 0 && !this.#request.memory.reserve(cost)) {
+      return this.#end({ kind: "lost", reason: "no-memory", corrupt: true });
+    }
     const headersByName = new Map<string, string>();
     for (let i = 0; i + 1 < raw.length; i += 2) {
       headersByName.set(raw[i].toLowerCase(), raw[i + 1]);
@@ -267,6 +288,7 @@
   }
 
   #handleChunk(chunk: Buffer): void {
+    this.#options.connection.contentsReceived(chunk.byteLength);
     if (this.#streaming) return this.#forwardChunk(chunk);
     this.#size += chunk.byteLength;
     if (this.#notRun) {
@@ -278,6 +300,23 @@
     }
   }
 
+  /** Takes memory for a part of the head or of trailers; returns false if there is none. */
+  #reserveFields(bytes: number): boolean {
+    if (this.#ended) return true;
+    const { memory } = this.#request;
+    memory.release(this.#partialFields);
+    const cost = partialAnswerHeadCost(bytes);
+    const isReserved = cost.heapBytes === 0 ||
+      memory.reserve(cost, PARTIAL_FIELDS_SHARE);
+    this.#partialFields = isReserved ? cost : { heapBytes: 0, bufferBytes: 0 };
+    return isReserved;
+  }
+
+  #releaseFields(): void {
+    this.#request.memory.release(this.#partialFields);
+    this.#partialFields = { heapBytes: 0, bufferBytes: 0 };
+  }
+
   /** Takes memory for the answer; returns false if there is not enough. */
   #reserve(bytes: number): boolean {
     const missingBytes = bytes - this.#freeBytes;
@@ -310,7 +349,8 @@
     if (this.#streaming) {
       this.#forwardChunks();
       this.#request.sink.end();
-      return this.#end({ kind: "streamed", closesConnection });
+      const status = this.#status;
+      return this.#end({ kind: "streamed", status, closesConnection });
     }
     this.#end({
       kind: "answered",
@@ -362,12 +402,15 @@
   /**
    * False if the answer may be a late copy of an earlier one on this connection. An id
    * tells, since the connection has not carried this one before; an answer without an id
-   * counts only if nothing else was sent there.
+   * counts only if nothing else was sent there, or if an entry refuses what it has not
+   * read: no copy can follow, since the connection ends with that answer.
    */
   #answersThisRequest(headers: ReadonlyMap<string, string>): boolean {
     const { connection, dialect } = this.#options;
     const id = headers.get(dialect.requestIdHeader)?.trim();
-    return id === undefined ? !connection.isReused : id === this.#request.id;
+    if (id !== undefined) return id === this.#request.id;
+    return !connection.isReused ||
+      this.#closesConnection && this.#isEntryRefusal(headers);
   }
 
   /** True if the recipient proved that the request did not run. */
@@ -382,11 +425,17 @@
         if (retryAfterSeconds > 0) {
           this.#retryAfterMillis = retryAfterSeconds * 1000;
         }
-        return headers.get(RESULT_HEADER) === "refused";
+        return this.#isEntryRefusal(headers);
       }
     }
   }
 
+  /** True if another entry says that it did not run the request; a target can't say so. */
+  #isEntryRefusal(headers: ReadonlyMap<string, string>): boolean {
+    return this.#options.recipient.kind === "entry" &&
+      headers.get(RESULT_HEADER) === "refused";
+  }
+
   /** Returns the reason why an answer is corrupt; empty for a valid one. */
   #findCorruption(headers: ReadonlyMap<string, string>): string {
     const { dialect, recipient } = this.#options;
@@ -444,10 +493,13 @@
     const data = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
     if (this.#request.sink.write(data)) return;
     // What was read already still arrives after the pause.
-    const { connection } = this.#options;
+    const { connection, onCallerWait } = this.#options;
     if (!connection.pauseReading()) return;
+    onCallerWait?.(true);
     this.#request.sink.onDrain(() => {
-      if (!this.#ended) connection.resumeReading();
+      if (this.#ended) return;
+      onCallerWait?.(false);
+      connection.resumeReading();
     });
   }
 
@@ -464,7 +516,9 @@
 
   #end(end: AttemptEnd): void {
     this.#ended = true;
+    this.#releaseFields();
     clearTimeout(this.#refusalTimer);
+    this.#options.connection.answerEnded();
     this.#options.connection.resumeReading();
     // The sender doesn't know the attempt yet while it is being started.
     if (this.#starting) {
@@ -490,6 +544,13 @@
   return headers.get("transfer-encoding")?.toLowerCase() === "chunked";
 }
 
+/** Size of a head with the separators of its fields. */
+function sizeOfHead(raw: readonly string[]): number {
+  let bytes = 0;
+  for (const text of raw) bytes += text.length + 2;
+  return bytes;
+}
+
 function textHeaders(
   raw: Dispatcher.DispatchController["rawHeaders"],
 ): string[] {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "@bamboolane/logger/create_logger";
 import type { Metrics } from "@bamboolane/metrics/create_metrics";
 import type { EntryRecord } from "@bamboolane/steering/steering_config";
+import { AnswerPacer } from "./answer_pacer.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { DescriptorBudget } from "./descriptor_budget.ts";
 import {
@@ -12,9 +13,11 @@
   serveReadiness,
   serveState,
 } from "./directory_server.ts";
+import { registerGauges } from "./gateway_gauges.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GatewayState } from "./gateway_state.ts";
+import { InputPacer } from "./input_pacer.ts";
 import { listenWhenPossible } from "./listen.ts";
 import { MemoryBudget } from "./memory_budget.ts";
 import { MemoryMonitor, planMemory } from "./memory_monitor.ts";
@@ -38,6 +41,8 @@
   state: GatewayState;
   /** What the process holds for others. */
   memory: MemoryBudget;
+  /** Shares the time of the event loop; for further servers of the process. */
+  pacer: InputPacer;
   /**
    * Resolves once the gateway listens on all addresses, or stops; rejects after an
    * error that doesn't pass.
@@ -67,9 +72,11 @@
 const LAME_DUCK_MILLIS = 2500;
 /**
  * Share of the time left for answers that is spent at most on accepting the connections
- * that wait when the listener closes.
+ * that wait before requests are refused.
  */
 const ACCEPT_SHARE = 1 / 3;
+/** Time for accepting, and then for reading, once requests are refused. */
+const LATE_ACCEPT_MILLIS = 200;
 /**
  * Share of the grace period that is reserved for answering what is left, and for
  * ending on a machine that is short of processor time.
@@ -105,12 +112,14 @@
   const stallMonitor = new StallMonitor();
   const memory = new MemoryBudget({ limits: planMemory(settings.memoryBytes) });
   const descriptors = new DescriptorBudget(settings.maxSockets ?? Infinity);
+  const pacer = new InputPacer({ descriptors, memory, log, metrics });
   const runner = new RequestRunner({
     settings,
     dialect,
     state,
     stallMonitor,
     descriptors,
+    answerPacer: new AnswerPacer({ memory }),
     log,
     metrics,
     random: Math.random,
@@ -123,6 +132,7 @@
     log,
     memory,
     descriptors,
+    pacer,
   };
   const callers = new GatewayServer(serverOptions);
   const forwarded = new GatewayServer({
@@ -175,12 +185,10 @@
   const cleanupTimer = setInterval(() => {
     state.removeExpired(performance.now());
     runner.closeUnusedConnections();
-    if (state.config && state.config.revision !== appliedRevision) {
-      appliedRevision = state.config.revision;
-      for (const server of callerServers) {
-        server.applyLimits(state.config.limits);
-      }
-    }
+    const { config } = state;
+    if (config === undefined || config.revision === appliedRevision) return;
+    appliedRevision = config.revision;
+    for (const server of callerServers) server.applyLimits(config.limits);
   }, CLEANUP_INTERVAL_MILLIS);
   let nextReminderMillis = startedAtMillis + FIRST_REMINDER_MILLIS;
   const readinessTimer = setInterval(() => {
@@ -190,7 +198,7 @@
     peers.announce();
     register();
   }, STATUS_POLL_MILLIS);
-  registerGauges();
+  registerGauges(metrics, { state, runner });
 
   async function listenOnAll(): Promise<void> {
     const { listen } = settings;
@@ -205,7 +213,13 @@
       [
         "readiness",
         listen.readiness,
-        () => open(serveReadiness(listen.readiness, { log, dialect, isReady })),
+        () =>
+          open(serveReadiness(listen.readiness, {
+            log,
+            pacer,
+            dialect,
+            isReady,
+          })),
       ],
       [
         "directory",
@@ -213,6 +227,7 @@
         () =>
           open(serveDirectory(listen.directory, {
             log,
+            pacer,
             dialect,
             state,
             ttlMillis,
@@ -223,7 +238,7 @@
       [
         "state",
         listen.state,
-        () => open(serveState(listen.state, { log, state })),
+        () => open(serveState(listen.state, { log, pacer, state })),
       ],
     ] as const;
     await Promise.all(
@@ -290,25 +305,6 @@
     }
   }
 
-  function registerGauges(): void {
-    metrics.gauge("bamboolane_revision", () => state.config?.revision ?? 0);
-    metrics.gauge("bamboolane_in_flight", () => runner.inFlight);
-    metrics.gauge("bamboolane_limited_targets", () => state.limitedTargetCount);
-    metrics.gauge("bamboolane_leaving_targets", () => state.leavingTargetCount);
-    metrics.gauge(
-      "bamboolane_pausing_targets",
-      () => state.pausingTargetCount(performance.now()),
-    );
-    metrics.gauge(
-      "bamboolane_unreachable_targets",
-      () => state.unreachableTargetCount,
-    );
-    metrics.gauge(
-      "bamboolane_live_instances",
-      () => state.members.serving(performance.now()).length,
-    );
-  }
-
   async function stopGracefully(): Promise<void> {
     stopping = true;
     const stopAtMillis = performance.now();
@@ -325,17 +321,36 @@
     await pause(Math.min(LAME_DUCK_MILLIS, graceMillis / 2));
     const maxAcceptMillis = ACCEPT_SHARE *
       Math.max(0, deadlineMillis - performance.now());
-    await Promise.all(
-      callerServers.map((server) => server.closeListener({ maxAcceptMillis })),
-    );
+    const closeListeners = callerServers.map((server) => server.prepareClose());
+    let isListenerOpen = true;
+    const acceptAndRead = async (maxMillis: number) => {
+      await pacer.acceptWaiting({
+        maxMillis,
+        hasRoom: () => !descriptors.isFull,
+        // The system resets the connections that wait when a listener closes.
+        onAccepted: () => {
+          if (isListenerOpen) closeListeners.forEach((close) => close());
+          isListenerOpen = false;
+        },
+      });
+      return pacer.untilAllRead(maxMillis);
+    };
+    const unread = await acceptAndRead(maxAcceptMillis);
+    for (const server of callerServers) server.closeIdle(unread);
+    while (isListenerOpen && performance.now() < deadlineMillis) {
+      await acceptAndRead(LATE_ACCEPT_MILLIS);
+    }
+    if (isListenerOpen) closeListeners.forEach((close) => close());
     await pauseWhile(isBusy, deadlineMillis);
     const unanswered = openAnswers();
     runner.endAll();
+    for (const server of callerServers) server.refuseWaiting();
     const lastAnswersMillis = marginMillis * LAST_ANSWERS_SHARE;
     const sendUntilMillis = performance.now() + lastAnswersMillis;
     await pauseWhile(() => openAnswers() > 0, sendUntilMillis);
     for (const server of callerServers) server.endConnections();
-    await pauseWhile(hasConnections, sendUntilMillis);
+    // Callers may not have read their last answers.
+    await pauseWhile(hasConnections, Math.max(deadlineMillis, sendUntilMillis));
     await Promise.race([unregistered, pause(lastAnswersMillis)]);
     log.info("stopped", {
       openAnswers: unanswered,
@@ -386,6 +401,7 @@
   return {
     state,
     memory,
+    pacer,
     listening,
     describeRequests: (max) => runner.describeActive(max),
     stop: () => stopped ??= stopGracefully(),
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -38,8 +38,9 @@
 const INITIAL_RETRY_MILLIS = 100;
 const MAX_RETRY_MILLIS = 800;
 /**
- * Minimum time between two watches: bounds calls while many rows change; a
- * tenth of the shortest time within which a change must take effect.
+ * Minimum time between two watches, also where the store doesn't hold them:
+ * bounds calls while many rows change; a tenth of the shortest time within which
+ * a change must take effect.
  */
 const MIN_WATCH_INTERVAL_MILLIS = 250;
 /** How often an inactive follower checks whether it has to follow the table. */
@@ -51,7 +52,13 @@
   #version = -1;
   #stopped = false;
   #failures = 0;
+  /** Gaps since a watch last ended without one. */
+  #gaps = 0;
+  /** Stale answers since the last one that was not stale. */
+  #staleReads = 0;
   #lastSuccessAtMillis = 0;
+  /** Time before which no watch starts. */
+  #nextWatchAtMillis = 0;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
@@ -93,7 +100,10 @@
           needsSnapshot = !await this.#readSnapshot();
           if (needsSnapshot) await pause(INITIAL_RETRY_MILLIS);
         } else {
-          needsSnapshot = await this.#watch();
+          const waitMillis = this.#nextWatchAtMillis - performance.now();
+          if (waitMillis > 0) await pause(Math.ceil(waitMillis));
+          // The state may have changed during the pause.
+          else needsSnapshot = await this.#watch();
         }
       } catch (error) {
         if (this.#stopped) return;
@@ -113,13 +123,17 @@
     const snapshot = await store.read(table);
     this.#recordSuccess();
     if (snapshot.version < this.#version) {
-      log.info("stale_read", {
-        table,
-        version: formatStateVersion(snapshot.version),
-        known: formatStateVersion(this.#version),
-      });
+      this.#staleReads++;
+      if (this.#staleReads === 1) {
+        log.info("stale_read", {
+          table,
+          version: formatStateVersion(snapshot.version),
+          known: formatStateVersion(this.#version),
+        });
+      }
       return false;
     }
+    this.#staleReads = 0;
     this.#version = snapshot.version;
     sink.onSnapshot(snapshot.rows, snapshot.version);
     return true;
@@ -128,21 +142,32 @@
   /** Returns true if a new snapshot is needed. */
   async #watch(): Promise<boolean> {
     const { store, table, sink, log } = this.#options;
+    const startedAtMillis = performance.now();
     const result = await store.watch(table, this.#version, {
       waitMillis: MAX_WATCH_MILLIS,
     });
     this.#recordSuccess();
+    this.#nextWatchAtMillis = startedAtMillis + MIN_WATCH_INTERVAL_MILLIS;
     switch (result.kind) {
       case "gap":
-        log.info("history_gap", {
-          table,
-          version: formatStateVersion(this.#version),
-        });
+        this.#gaps++;
+        if (this.#gaps === 1) {
+          log.info("history_gap", {
+            table,
+            version: formatStateVersion(this.#version),
+          });
+        }
         return true;
       case "changes":
+        if (this.#gaps > 1) {
+          log.info("history_regained", { table, gaps: this.#gaps });
+        }
+        this.#gaps = 0;
         if (result.rows.length > 0) {
           sink.onChanges(result.rows, result.version);
-          await pause(MIN_WATCH_INTERVAL_MILLIS);
+          // Changes that follow each other closely take one watch.
+          this.#nextWatchAtMillis = performance.now() +
+            MIN_WATCH_INTERVAL_MILLIS;
         }
         this.advance(result.version);
         return false;
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -9,6 +9,7 @@
  */
 import { connect, type Socket } from "node:net";
 import { buildConnector, Client } from "undici";
+import { type AnswerPacer, PacedConnection } from "./answer_pacer.ts";
 import type { DescriptorBudget } from "./descriptor_budget.ts";
 
 /** Timeout for a new connection; links between regions take a tenth of it. */
@@ -44,17 +45,23 @@
  * would add up while the same request comes again and again.
  */
 const MAX_UNUSABLE_IDLE = 3;
+/** Bytes around the contents of a chunk, besides its size: two ends of lines. */
+const CHUNK_FRAME_BYTES = 4;
 /** Timeout of the check whether a target's port is closed. */
 const PORT_CHECK_TIMEOUT_MILLIS = 300;
 
 /**
- * Bytes that a target may send until the head of an answer is complete. The
- * parser bounds the size of the headers, but not a status line, informational
- * answers or blank lines.
+ * Bytes that a target may send until the head of an answer, or its trailers, are
+ * complete. The parser bounds the size of the headers, but not a status line,
+ * informational answers or blank lines.
  */
-const MAX_HEAD_BYTES = 65_536;
+const MAX_FIELDS_BYTES = 65_536;
 
-const connectTarget = buildConnector({ timeout: CONNECT_TIMEOUT_MILLIS });
+/**
+ * Takes memory for as many bytes of a head or of trailers that are not complete, in place
+ * of what it took before; returns false if there is not enough.
+ */
+export type ReserveFields = (bytes: number) => boolean;
 
 /**
  * Distinguishes a clean close of a connection from a reset. When a reset
@@ -85,30 +92,50 @@
 }
 
 /**
- * Closes a connection whose target sends too much before the head of an answer
- * is complete.
+ * Closes a connection whose target sends too much before the head of an answer, or its
+ * trailers, are complete, or more than there is memory for.
  */
-class HeadGuard {
+class FieldsGuard {
   #socket: Socket | undefined;
-  /** Bytes that the parser had read when the head was first expected; undefined if none is. */
-  #readBefore: number | undefined;
+  /**
+   * Bytes of the connection up to the end of the last complete part of the answer;
+   * undefined if no answer is expected.
+   */
+  #knownBytes: number | undefined;
+  #reserve: ReserveFields = () => true;
 
   watch(socket: Socket): void {
     this.#socket = socket;
-    // Runs before the parser reads what is new.
     socket.prependListener("readable", () => {
-      if (this.#readBefore === undefined) return;
-      if (bytesParsed(socket) - this.#readBefore <= MAX_HEAD_BYTES) return;
-      socket.destroy(new Error("head of the answer is too long"));
+      // The parser reads what is new after this.
+      if (this.#knownBytes !== undefined) queueMicrotask(() => this.#check());
     });
   }
 
-  expectHead(): void {
-    this.#readBefore = this.#socket ? bytesParsed(this.#socket) : 0;
+  expectAnswer(reserve: ReserveFields): void {
+    this.#knownBytes = this.#socket ? bytesParsed(this.#socket) : 0;
+    this.#reserve = reserve;
   }
 
-  headReceived(): void {
-    this.#readBefore = undefined;
+  recordPart(bytes: number): void {
+    if (this.#knownBytes !== undefined) this.#knownBytes += bytes;
+  }
+
+  answerEnded(): void {
+    this.#knownBytes = undefined;
+    // It holds the request with its body.
+    this.#reserve = () => true;
+  }
+
+  #check(): void {
+    const socket = this.#socket;
+    if (socket === undefined || this.#knownBytes === undefined) return;
+    const bytes = bytesParsed(socket) - this.#knownBytes;
+    if (bytes > MAX_FIELDS_BYTES) {
+      socket.destroy(new Error("head of the answer is too long"));
+    } else if (!this.#reserve(bytes)) {
+      socket.destroy(new Error("no memory for the head of the answer"));
+    }
   }
 }
 
@@ -159,8 +186,9 @@
   /** Idle time before the current request; 0 for the first request. */
   idleBeforeMillis = 0;
   readonly #closeProbe = new CloseProbe();
-  readonly #headGuard = new HeadGuard();
+  readonly #fieldsGuard = new FieldsGuard();
   readonly #readingPause = new ReadingPause();
+  readonly #paced: PacedConnection;
   /** True once the target refused a request on this connection. */
   carriedRefusal = false;
   readonly #requestIds = new Set<string>();
@@ -168,16 +196,26 @@
 
   constructor(
     address: string,
-    options: { onClosed: () => void; onConnected: () => void },
+    options: {
+      pacer: AnswerPacer;
+      onClosed: () => void;
+      onConnected: () => void;
+    },
   ) {
+    this.#paced = new PacedConnection(options.pacer);
+    const connectTarget = buildConnector({
+      timeout: CONNECT_TIMEOUT_MILLIS,
+      ...this.#paced.options,
+    });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: (target, done) =>
         connectTarget(target, (error, socket) => {
           if (error) return done(error, null);
           this.#closeProbe.watch(socket);
-          this.#headGuard.watch(socket);
+          this.#fieldsGuard.watch(socket);
           this.#readingPause.watch(socket);
+          this.#paced.watch(socket);
           done(null, socket);
         }),
       headersTimeout: 0,
@@ -205,7 +243,8 @@
 
   /** True if the connection has to be closed after its current request. */
   get isWorn(): boolean {
-    return this.requestCount >= MAX_REQUESTS_PER_CONNECTION ||
+    return this.#paced.hasLargeWindow ||
+      this.requestCount >= MAX_REQUESTS_PER_CONNECTION ||
       this.#idCharacters >= MAX_ID_CHARACTERS;
   }
 
@@ -223,13 +262,27 @@
     this.#idCharacters += requestId.length;
   }
 
-  /** Announces that a request is sent, so that the size of its answer's head is bounded. */
-  expectHead(): void {
-    this.#headGuard.expectHead();
+  /** Announces that a request is sent, so that the fields of its answer are bounded. */
+  expectAnswer(reserve: ReserveFields): void {
+    this.#fieldsGuard.expectAnswer(reserve);
+    this.#paced.startAnswer();
+  }
+
+  /** Records that a head of about this size is complete. */
+  headReceived(bytes: number): void {
+    this.#fieldsGuard.recordPart(bytes);
+  }
+
+  /** Records contents of the answer, which may be a chunk. */
+  contentsReceived(bytes: number): void {
+    this.#fieldsGuard.recordPart(
+      bytes + bytes.toString(16).length + CHUNK_FRAME_BYTES,
+    );
   }
 
-  headReceived(): void {
-    this.#headGuard.headReceived();
+  answerEnded(): void {
+    this.#fieldsGuard.answerEnded();
+    this.#paced.answerEnded();
   }
 
   /** Stops reading the current answer; returns false if that is the case already. */
@@ -269,6 +322,7 @@
   readonly #removed = new WeakSet<TargetConnection>();
   readonly #onConnected: (tookMillis: number) => void;
   readonly #descriptors: DescriptorBudget;
+  readonly #pacer: AnswerPacer;
   #open = 0;
   /** Maximum idle time of a reused connection, until `#idleLimitEndsAtMillis`. */
   #idleLimitMillis = Infinity;
@@ -279,11 +333,13 @@
     address: string,
     options: {
       descriptors: DescriptorBudget;
+      pacer: AnswerPacer;
       onConnected: (tookMillis: number) => void;
     },
   ) {
     this.#address = address;
     this.#descriptors = options.descriptors;
+    this.#pacer = options.pacer;
     this.#onConnected = options.onConnected;
   }
 
@@ -356,6 +412,7 @@
     this.#open++;
     this.#descriptors.targetCount++;
     const connection: TargetConnection = new TargetConnection(this.#address, {
+      pacer: this.#pacer,
       onClosed: () => this.#remove(connection),
       onConnected: () => this.#onConnected(performance.now() - nowMillis),
     });
--- a/packages/logger/src/bounded_output.ts
+++ b/packages/logger/src/bounded_output.ts
@@ -84,9 +84,13 @@
   return lines;
 }
 
-/** Creates a bounded output for an open file descriptor. */
-export function openBoundedOutput(descriptor: number): BoundedOutput {
+/**
+ * Creates a bounded output for a stream of the process, as `process.stdout`. Node.js
+ * makes a pipe or socket non-blocking when it creates such a stream, and restores it at
+ * the end. Otherwise a thread could wait for the reader, and the process's end for it.
+ */
+export function openBoundedOutput(stream: { fd: number }): BoundedOutput {
   return new BoundedOutput((bytes, done) =>
-    write(descriptor, bytes, (error, written) => done(error, written))
+    write(stream.fd, bytes, (error, written) => done(error, written))
   );
 }
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -66,8 +66,16 @@
   bamboolane_held_heap_bytes: "Heap that counts as held for others.",
   bamboolane_held_buffer_bytes:
     "Buffers and sockets that count as held for others.",
+  bamboolane_unread_bytes:
+    "The most that callers, and targets of large answers, may have sent and the process has not read.",
   bamboolane_memory_refusals:
     "Requests refused for lack of memory or descriptors since the start.",
+  bamboolane_input_pauses:
+    "Pauses in which no caller was read, since the start.",
+  bamboolane_input_paused_millis:
+    "Time in which no caller was read, since the start, in milliseconds.",
+  bamboolane_longest_read_turn_millis:
+    "Longest turn of the event loop that read callers, since the start, in milliseconds.",
 } as const;
 
 /** Name of a counter. */
--- a/packages/steering/features/reach.feature
+++ b/packages/steering/features/reach.feature
@@ -25,6 +25,25 @@
     When connections to "a1" fail at 10.5 s
     Then no check but of "a1" is planned at 11 s
 
+  Scenario: An entry that hears nobody while targets of two data centres fail is cut off from all
+    When connections to "a1", "a2" and "b1" fail at 10.5 s
+    Then this entry is cut off from "a3", "b2", "b3", "c1" and "c2" at 10.5 s
+
+  Scenario: An entry that hears one target, or fails in one data centre only, is not cut off
+    When connections to "a1", "a2" and "a3" fail at 10.5 s
+    Then this entry is not cut off at 10.5 s
+    When connections to "b1" fail at 10.5 s
+    And "c1" answers at 10.4 s
+    Then this entry is not cut off at 10.5 s
+
+  Scenario: A target that an entry was cut off from is used once it accepts a connection
+    When connections to "a1", "a2" and "b1" fail at 10.5 s
+    And this entry is cut off at 10.5 s
+    Then "c1" is unreachable
+    When "c1" accepts a connection at 11 s
+    Then "c1" is reachable
+    And "c1" is not cold at 11 s
+
   Scenario: Targets that were heard since the failures are not checked
     When connections to "a1" and "a2" fail at 10.5 s
     And "b1", "b2" and "b3" answer at 10.4 s
--- a/packages/steering/features/reach_steps.ts
+++ b/packages/steering/features/reach_steps.ts
@@ -6,6 +6,7 @@
 import { choosePeer, type PeerChoice } from "@bamboolane/steering/choose_peer";
 import { type Member, MemberView } from "@bamboolane/steering/member_view";
 import {
+  findCutOffTargets,
   planReachChecks,
   type ReachCheck,
   type ReachState,
@@ -152,6 +153,35 @@
     assert.equal(targetOf(id).isUnreachable, expected === "unreachable"),
 );
 
+function cutOffAt(seconds: number): TargetState[] {
+  const targets = [...states.values()].map(({ target }) => target);
+  return findCutOffTargets(targets, seconds * 1000);
+}
+
+When("this entry is cut off at {float} s", (seconds: number) => {
+  for (const target of cutOffAt(seconds)) target.presumeUnreachable();
+});
+
+Then(
+  /^this entry is cut off from (.+) at (\S+) s$/,
+  (ids: string, seconds: string) =>
+    assert.deepEqual(
+      cutOffAt(Number(seconds)).map(({ record }) => record.id).sort(),
+      idsIn(ids).sort(),
+    ),
+);
+
+Then(
+  "this entry is not cut off at {float} s",
+  (seconds: number) => assert.deepEqual(cutOffAt(seconds), []),
+);
+
+Then(
+  "{string} is not cold at {float} s",
+  (id: string, seconds: number) =>
+    assert.equal(targetOf(id).isCold(seconds * 1000), false),
+);
+
 let members: MemberView;
 let forwarded: Record<string, number> = {};
 
--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -88,6 +88,11 @@
     Given 12 targets that are all free except an object's homes
     Then the placement is full at load 0.9, and the request goes to another target at load 0.5
 
+  Scenario: Only targets that a request may use are full for it
+    Given targets of which a request may not use "elsewhere", "paused", "leaving" and "tried"
+    And "busy" has twice as many requests as slots, and "returned" one, but free slots
+    Then only "busy" and "returned" are full for the request
+
   Scenario: The wait queue serves requests that can still meet their objective before late ones
     Given a wait queue with a late, an urgent and an ordinary request
     Then they are dequeued in the order urgent, ordinary, late
@@ -119,3 +124,8 @@
     Given an entry whose second incarnation sent a heartbeat
     When a heartbeat of its first incarnation arrives
     Then the entry is still known with its second incarnation
+
+  Scenario: An entry that restarts with an earlier clock counts as serving again
+    Given an entry whose second incarnation sent a heartbeat
+    When 5 s later heartbeats of an incarnation with an earlier clock arrive
+    Then that incarnation counts as serving
--- a/packages/steering/features/steering_steps.ts
+++ b/packages/steering/features/steering_steps.ts
@@ -3,13 +3,16 @@
  * clock with a fixed seed.
  */
 import assert from "node:assert/strict";
-import { Given, Then, When } from "@cucumber/cucumber";
+import { Before, Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import { admitRequest } from "@bamboolane/steering/admit_request";
 import { RateLimiter, type RateShare } from "@bamboolane/steering/rate_limiter";
 import { RouteIndex } from "@bamboolane/steering/match_route";
 import { findHomes, type ObjectHomes } from "@bamboolane/steering/object_homes";
-import { placeRequest } from "@bamboolane/steering/place_request";
+import {
+  type PlacementInput,
+  placeRequest,
+} from "@bamboolane/steering/place_request";
 import { RetryBudget } from "@bamboolane/steering/retry_budget";
 import {
   allocateRate,
@@ -373,6 +376,11 @@
 let targets: TargetState[] = [];
 let homes: ObjectHomes;
 let objectCount = 0;
+let placementChanges: Partial<PlacementInput> = {};
+
+Before(() => {
+  placementChanges = {};
+});
 
 function place(object: string, nowMillis: number, load = 0.5) {
   homes = findHomes(object, targets, (target) => target.record.slots);
@@ -393,6 +401,7 @@
     warmupShare: () => ({ perSecond: 0, burst: 1 }),
     limitShare: () => ({ perSecond: Infinity, burst: 1 }),
     exclude: new Set(),
+    ...placementChanges,
   });
 }
 
@@ -484,11 +493,53 @@
   },
 );
 
+Given(
+  "targets of which a request may not use {string}, {string}, {string} and {string}",
+  (elsewhere: string, paused: string, leaving: string, tried: string) => {
+    targets = [elsewhere, paused, leaving, tried].map((id) => targetState(id));
+    for (const target of targets) recordSends(target, 2 * target.record.slots);
+    targets[1].requestPause(1000, 0);
+    targets[2].markLeaving();
+    placementChanges = {
+      isAllowed: (target) => target.record.id !== elsewhere,
+      exclude: new Set([tried]),
+    };
+  },
+);
+
+Given(
+  "{string} has twice as many requests as slots, and {string} one, but free slots",
+  (busyId: string, returnedId: string) => {
+    const busy = targetState(busyId);
+    recordSends(busy, 2 * busy.record.slots);
+    const returned = targetState(returnedId);
+    returned.returnRamp.begin();
+    recordSends(returned, 1);
+    targets.push(busy, returned);
+  },
+);
+
+Then(
+  "only {string} and {string} are full for the request",
+  (busyId: string, returnedId: string) => {
+    const placement = place("o", 10);
+    const fullIds = placement.kind === "full"
+      ? placement.fullTargets.map((target) => target.record.id)
+      : placement.kind;
+    assert.deepEqual(fullIds, [busyId, returnedId]);
+  },
+);
+
+function recordSends(target: TargetState, count: number): void {
+  for (let i = 0; i < count; i++) target.recordSend("o", 0);
+}
+
 const LATE_REQUEST = {
   waitMillis: 0,
   serviceMillis: 500,
   remainingMillis: 1000,
   objectiveRemainingMillis: 300,
+  isEstimateStale: false,
   random: 0,
 };
 
--- a/packages/steering/src/admit_request.ts
+++ b/packages/steering/src/admit_request.ts
@@ -19,6 +19,8 @@
   objectiveRemainingMillis: number;
   /** Requests at the service's targets divided by the targets' slots. */
   load: number;
+  /** True if no request was sent for some time, whose answer would correct the estimates. */
+  isEstimateStale: boolean;
   /** Uniform in [0, 1): jitter that spreads the retries of refused callers. */
   random: number;
 }
@@ -58,7 +60,8 @@
 
 /**
  * Accepts a request that is expected to finish in time, and at low load also one
- * that gets a slot at once and may meet its deadline. Refuses any other.
+ * that gets a slot at once and may meet its deadline. Refuses any other, unless it gets
+ * a slot at once and the estimates are stale: they would never be corrected.
  */
 export function admitRequest(input: AdmissionInput): Admission {
   const {
@@ -68,11 +71,9 @@
   const expectedMillis = input.waitMillis + input.serviceMillis;
   const mayMeetDeadline =
     remainingMillis >= expectedMillis * MIN_EXPECTED_TIME_SHARE;
-  if (
-    input.waitMillis === 0 && input.load < LOW_LOAD_LIMIT && mayMeetDeadline
-  ) {
-    return { kind: "accept" };
-  }
+  const isWorthwhile = input.isEstimateStale ||
+    input.load < LOW_LOAD_LIMIT && mayMeetDeadline;
+  if (input.waitMillis === 0 && isWorthwhile) return { kind: "accept" };
   const usableMillis = remainingMillis * USABLE_DEADLINE_SHARE;
   const boundMillis = objectiveRemainingMillis > 0
     ? Math.min(
--- a/packages/steering/src/place_request.ts
+++ b/packages/steering/src/place_request.ts
@@ -49,10 +49,15 @@
     warm: boolean;
   }
   /**
-   * All targets considered are full: the sum of their slots, and the shortest
-   * expected time to an answer.
+   * All targets considered are full: the sum of their slots, the shortest
+   * expected time to an answer, and those that take no more requests until others end.
    */
-  | { kind: "full"; slots: number; finishMillis: number }
+  | {
+    kind: "full";
+    slots: number;
+    finishMillis: number;
+    fullTargets: readonly TargetState[];
+  }
   /** No target is usable before `usableAtMillis`, which is Infinity if none is expected to be. */
   | {
     kind: "none";
@@ -147,6 +152,7 @@
   let bestWaitMillis = 0;
   let bestWarm = false;
   let fullFinishMillis = Infinity;
+  const fullTargets: TargetState[] = [];
   let slots = 0;
   let usableAtMillis = Infinity;
   let isPauseRequested = false;
@@ -187,6 +193,7 @@
       !target.returnRamp.allows(target.ownInFlight)
     ) {
       fullFinishMillis = Math.min(fullFinishMillis, finishMillis);
+      fullTargets.push(target);
       continue;
     }
     let cost = finishMillis + workMillis * QUEUEING_COST_WEIGHT;
@@ -216,7 +223,12 @@
     };
   }
   if (fullFinishMillis < Infinity) {
-    return { kind: "full", slots, finishMillis: fullFinishMillis };
+    return {
+      kind: "full",
+      slots,
+      finishMillis: fullFinishMillis,
+      fullTargets,
+    };
   }
   return { kind: "none", usableAtMillis, isPauseRequested };
 }
--- a/packages/steering/src/plan_reach_checks.ts
+++ b/packages/steering/src/plan_reach_checks.ts
@@ -3,8 +3,10 @@
  * which of them it can reach. One target that hangs is found by its silence. Once a
  * second one of the same data centre or service fails, a link is suspected, and the
  * others there that have not been heard since are tried too, so that requests don't
- * have to find out one by one. Unreachable targets are tried again until one accepts
- * a connection; the others of its data centre or service follow at once.
+ * have to find out one by one. Once targets of several data centres fail and none at
+ * all is heard, it is the entry that is cut off, and no other target is waited for.
+ * Unreachable targets are tried again until one accepts a connection; the others of its
+ * data centre or service follow at once.
  */
 import type { TargetState } from "./target_state.ts";
 
@@ -42,6 +44,8 @@
 const EVIDENCE_MILLIS = 2000;
 /** Targets of one data centre or service that must fail before its link is suspected. */
 const MIN_FAILED_TARGETS = 2;
+/** Targets that must fail, of several data centres, before the entry counts as cut off. */
+const MIN_FAILED_IF_CUT_OFF = 3;
 /** Interval of the checks of one unreachable target; doubles up to the maximum. */
 const INITIAL_RECHECK_MILLIS = 300;
 const MAX_RECHECK_MILLIS = 3000;
@@ -116,6 +120,25 @@
   return checks.slice(0, Math.max(0, MAX_CHECKS - underWay));
 }
 
+/**
+ * Returns the targets that an entry which is cut off can't reach either, besides those
+ * whose connections failed; none unless it is cut off.
+ */
+export function findCutOffTargets(
+  targets: readonly TargetState[],
+  nowMillis: number,
+): TargetState[] {
+  const failed = targets.filter(({ unreachableSinceMillis = -Infinity }) =>
+    nowMillis - unreachableSinceMillis < EVIDENCE_MILLIS
+  );
+  const dataCentres = new Set(failed.map(({ record }) => record.dataCentre));
+  if (failed.length < MIN_FAILED_IF_CUT_OFF || dataCentres.size < 2) return [];
+  const isHeard = targets.some(({ contactAtMillis }) =>
+    nowMillis - contactAtMillis < SILENCE_MILLIS
+  );
+  return isHeard ? [] : targets.filter(({ isUnreachable }) => !isUnreachable);
+}
+
 /** Evidence from all targets of one data centre or service. */
 interface GroupState {
   /** Targets whose connections began to fail a short time ago. */
--- a/packages/steering/src/target_state.ts
+++ b/packages/steering/src/target_state.ts
@@ -175,12 +175,17 @@
     return nowMillis < this.#coldUntilMillis;
   }
 
-  /** True if the last attempt to connect to the target failed. */
+  /** Records that the target can't be reached, as the entry is cut off from all of them. */
+  presumeUnreachable(): void {
+    this.#connectFailures = Math.max(1, this.#connectFailures);
+  }
+
+  /** True if the last attempt to connect to the target failed, or would. */
   get isUnreachable(): boolean {
     return this.#connectFailures > 0;
   }
 
-  /** Since when connections to the target fail; undefined while they don't. */
+  /** Since when connections to the target fail; undefined while none has. */
   get unreachableSinceMillis(): number | undefined {
     return this.#unreachableSinceMillis;
   }
--- a/packages/steering/src/work_time_estimate.ts
+++ b/packages/steering/src/work_time_estimate.ts
@@ -15,8 +15,10 @@
 export class WorkTimeEstimate {
   readonly #cold: MovingAverage;
   readonly #warm: MovingAverage;
+  readonly #objectiveMillis: number;
 
   constructor(options: { objectiveMillis: number }) {
+    this.#objectiveMillis = options.objectiveMillis;
     const initialMillis = options.objectiveMillis * INITIAL_OBJECTIVE_SHARE;
     this.#cold = new MovingAverage(SAMPLE_WEIGHT, initialMillis);
     this.#warm = new MovingAverage(
@@ -30,6 +32,13 @@
     (options.warm ? this.#warm : this.#cold).add(workMillis);
   }
 
+  /** True if nothing was measured yet, and more is assumed than for this objective. */
+  assumesMoreThan(objectiveMillis: number): boolean {
+    const { sampleCount } = this.#warm;
+    return this.#cold.sampleCount + sampleCount === 0 &&
+      objectiveMillis < this.#objectiveMillis;
+  }
+
   workMillis(warm: boolean): number {
     return warm ? this.#warm.read() : this.#cold.read();
   }
--- a/tools/src/replay/play_pattern.ts
+++ b/tools/src/replay/play_pattern.ts
@@ -295,6 +295,7 @@
       triedEntries: new Set(),
       arrivals: 0,
       possibleRuns: 0,
+      readCaller: () => undefined,
       sends: 0,
       done: false,
       abort: undefined,
--- a/tools/src/replay/simulated_entry.ts
+++ b/tools/src/replay/simulated_entry.ts
@@ -168,8 +168,7 @@
     const { queue } = this.#placer.serviceState(service);
     while (queue.length > 0) {
       const { nowMillis } = this.#context.clock;
-      // `place` created the estimate, so the objective passed here isn't used.
-      const workMillis = this.#state.estimate(service, 0).meanMillis();
+      const workMillis = this.#state.estimate(service, Infinity).meanMillis();
       const request = queue.take(nowMillis, { workMillis });
       if (request === undefined) return;
       const placement = this.#placer.place(request, nowMillis);
