--- a/packages/gateway/features/state_age.feature
+++ b/packages/gateway/features/state_age.feature
@@ -35,6 +35,18 @@
       | a target is removed    |
       | data centre "a1" is evacuated now |
 
+  Scenario Outline: The store's answers reach its followers late, then <change>
+    Given a target "t1" that answers
+    And entries "e1" to "e3" of which the first 2 watch the store
+    When "e1" and "e2" get the store's answers 2800 ms late
+    And <change>
+    Then "e1" and "e3" apply it within 2500 ms
+
+    Examples:
+      | change             |
+      | a route is dropped |
+      | a target drains    |
+
   Scenario: The store answers reads but no watches
     Given a target "t1" that answers
     And entries "e1" to "e2" of which the first 2 watch the store
--- a/packages/gateway/features/state_age_steps.ts
+++ b/packages/gateway/features/state_age_steps.ts
@@ -69,6 +69,15 @@
   },
 );
 
+When(
+  "{string} and {string} get the store's answers {int} ms late",
+  (first: string, second: string, millis: number) => {
+    for (const id of [first, second]) {
+      world.system.store.delayAnswers(id, millis);
+    }
+  },
+);
+
 When(
   "the store refuses the watches of {string} and {string}",
   async (first: string, second: string) => {
--- a/standins/src/memory_state_store.ts
+++ b/standins/src/memory_state_store.ts
@@ -52,6 +52,8 @@
   readonly #silentFromNextWatch = new Set<string>();
   /** Number of times that the open connections of a client went silent. */
   readonly #silencedConnections = new Map<string, number>();
+  /** Delay of the answers to a client. */
+  readonly #delayMillis = new Map<string, number>();
   /** Clients whose watches fail, while reads are answered. */
   readonly #withoutWatches = new Set<string>();
   /** Tables that can't be read as a whole. */
@@ -110,6 +112,11 @@
     );
   }
 
+  /** Sends the answers to a client late; those that exceed its timeout are lost. */
+  delayAnswers(client: string, millis: number): void {
+    this.#delayMillis.set(client, millis);
+  }
+
   /** Refuses the watches of a client. */
   refuseWatches(client: string): void {
     this.#withoutWatches.add(client);
@@ -178,12 +185,14 @@
               .map((row) => this.#withLink(client, row));
             const expired = closed || performance.now() > endMillis;
             if (rows.length > 0 || expired) {
-              return {
+              const answer = {
                 kind: "changes",
                 rows,
                 version: this.#stateVersion(this.#version),
                 storeMillis: this.#clockMillis(),
-              };
+              } as const;
+              await this.#delayAnswer(client, endMillis + CALL_TIMEOUT_MILLIS);
+              return answer;
             }
             await new Promise((resolve) =>
               setTimeout(resolve, POLL_INTERVAL_MILLIS)
@@ -223,6 +232,17 @@
       : { ...row, record: { ...row.record, address } };
   }
 
+  /** Waits for as long as the client's answers take; fails at its timeout. */
+  async #delayAnswer(client: string, timeoutAtMillis: number): Promise<void> {
+    const delayMillis = this.#delayMillis.get(client) ?? 0;
+    if (delayMillis === 0) return;
+    const leftMillis = timeoutAtMillis - performance.now();
+    await new Promise((resolve) =>
+      setTimeout(resolve, Math.min(delayMillis, leftMillis))
+    );
+    if (delayMillis > leftMillis) throw new StoreError("timeout", "no answer");
+  }
+
   #clockMillis(): number {
     return Math.round(performance.now());
   }
