--- a/packages/steering/features/member_steps.ts
+++ b/packages/steering/features/member_steps.ts
@@ -43,6 +43,7 @@
 );
 
 let members: MemberView;
+let lastHeartbeatMillis = 0;
 const HEARTBEAT_STATE = {
   serving: true,
   reachesStore: true,
@@ -193,6 +194,29 @@
   );
 });
 
+When(
+  "{int} s later heartbeats of an incarnation with an earlier clock arrive",
+  (seconds: number) => {
+    for (const sinceMillis of [0, 150, 300]) {
+      lastHeartbeatMillis = seconds * 1000 + sinceMillis;
+      members.applyHeartbeat(
+        entry("a", "a1", "a"),
+        HEARTBEAT_STATE,
+        lastHeartbeatMillis,
+      );
+    }
+  },
+);
+
+Then("that incarnation counts as serving", () => {
+  assert.deepEqual(
+    members.serving(lastHeartbeatMillis).map(({ record }) =>
+      record.incarnation
+    ),
+    [1],
+  );
+});
+
 Then("the entry is still known with its second incarnation", () => {
   assert.equal(members.serving(20)[0].record.incarnation, 2);
 });
--- a/packages/steering/features/steering.feature
+++ b/packages/steering/features/steering.feature
@@ -119,3 +119,8 @@
     Given an entry whose second incarnation sent a heartbeat
     When a heartbeat of its first incarnation arrives
     Then the entry is still known with its second incarnation
+
+  Scenario: An entry that restarts with an earlier clock counts as serving again
+    Given an entry whose second incarnation sent a heartbeat
+    When 5 s later heartbeats of an incarnation with an earlier clock arrive
+    Then that incarnation counts as serving
