--- a/review/harness-2/endpoints.mjs
+++ b/review/harness-2/endpoints.mjs
@@ -7,7 +7,6 @@
 import { createServer as createTcpServer } from "node:net";
 import { pause } from "./store.mjs";
 
-/** How often an endpoint writes its entry when its state changed. */
 const SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1";
 
 /** Runs requests in its slots, one after another, and records what it runs. */
@@ -29,7 +28,6 @@
     this.zone = options.zone;
     this.slots = options.slots ?? 3;
     this.workMillis = options.workMillis ?? 100;
-    this.coldMillis = 0;
     this.bornMillis = Date.now();
     this.sequence = 0;
     this.server = createHttpServer((request, response) =>
--- a/review/harness-2/entries.mjs
+++ b/review/harness-2/entries.mjs
@@ -72,6 +72,9 @@
     entries.#zones = zones;
     entries.#network = await freeNetwork();
     entries.#folder = await mkdtemp(join(tmpdir(), "review-"));
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+      process.once(signal, () => entries.end().then(() => process.exit(2)));
+    }
     return entries;
   }
 
